--- /dev/null
+++ b/Source/base/clock.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <chrono>
+#include <mutex>
+
+namespace medlaryoke {
+
+using duration = std::chrono::nanoseconds;
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+/// Source of the monotonic time, so that tests can control it.
+class clock_source {
+public:
+    clock_source() = default;
+    clock_source(const clock_source&) = delete;
+    clock_source& operator=(const clock_source&) = delete;
+    clock_source(clock_source&&) = delete;
+    clock_source& operator=(clock_source&&) = delete;
+    virtual ~clock_source() = default;
+
+    /// @return the current monotonic time
+    [[nodiscard]] virtual time_point now() const = 0;
+};
+
+/// Reads the monotonic clock of the machine.
+class system_clock_source final : public clock_source {
+public:
+    [[nodiscard]] time_point now() const override;
+};
+
+/// Clock that only moves when told to; thread safe.
+class manual_clock final : public clock_source {
+public:
+    [[nodiscard]] time_point now() const override;
+
+    /// Moves the clock forward.
+    /// @param step how far; must not be negative
+    void advance(duration step);
+
+private:
+    mutable std::mutex mutex_;
+    time_point now_{};
+};
+
+} // namespace medlaryoke
--- /dev/null
+++ b/Source/base/logging.cxx
@@ -0,0 +1,74 @@
+#include "base/logging.h"
+
+#include <memory>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace medlaryoke {
+
+namespace {
+
+struct log_state {
+    std::shared_ptr<spdlog::logger> sink;
+    log_format format = log_format::text;
+    std::string instance;
+};
+
+log_state& state()
+{
+    static log_state instance{spdlog::stderr_logger_mt("medlaryoke"), log_format::text, {}};
+    return instance;
+}
+
+spdlog::level::level_enum to_spdlog(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warning:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+} // namespace
+
+void configure_logging(log_format format, log_level level, const std::string& instance)
+{
+    auto& current = state();
+    current.format = format;
+    current.instance = instance;
+    current.sink->set_level(to_spdlog(level));
+    // A JSON line carries its own fields; its time is added in the pattern.
+    current.sink->set_pattern(format == log_format::json
+                                  ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})"
+                                  : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
+}
+
+void logger::write(log_level level, std::string_view message) const
+{
+    auto& current = state();
+    const auto target = to_spdlog(level);
+    if (!current.sink->should_log(target)) {
+        return;
+    }
+    if (current.format == log_format::text) {
+        current.sink->log(target, "{} {}: {}", current.instance, this->part_, message);
+        return;
+    }
+    const auto quote = [](std::string_view text) {
+        constexpr int no_indent = -1;
+        return nlohmann::json(text).dump(no_indent, ' ', false,
+                                         nlohmann::json::error_handler_t::replace);
+    };
+    current.sink->log(target, R"("instance":{},"part":{},"message":{})", quote(current.instance),
+                      quote(this->part_), quote(message));
+}
+
+} // namespace medlaryoke
--- /dev/null
+++ b/Source/base/logging.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace medlaryoke {
+
+enum class log_format { text, json };
+enum class log_level { debug, info, warning, error };
+
+/// Sets up the process-wide log on standard error.
+/// @param format text lines for people or one JSON object a line
+/// @param level the least severe level that is written
+/// @param instance the name of this instance, part of each line
+void configure_logging(log_format format, log_level level, const std::string& instance);
+
+/// Writes log lines that start with the prefix of one part of the system; thread safe.
+class logger {
+public:
+    /// @param part the prefix without its colon, such as `queue`
+    explicit logger(std::string part) : part_(std::move(part)) {}
+
+    template <typename... Args>
+    void debug(fmt::format_string<Args...> format, Args&&... args) const
+    {
+        this->write(log_level::debug, fmt::format(format, std::forward<Args>(args)...));
+    }
+
+    template <typename... Args>
+    void info(fmt::format_string<Args...> format, Args&&... args) const
+    {
+        this->write(log_level::info, fmt::format(format, std::forward<Args>(args)...));
+    }
+
+    template <typename... Args>
+    void warning(fmt::format_string<Args...> format, Args&&... args) const
+    {
+        this->write(log_level::warning, fmt::format(format, std::forward<Args>(args)...));
+    }
+
+    template <typename... Args>
+    void error(fmt::format_string<Args...> format, Args&&... args) const
+    {
+        this->write(log_level::error, fmt::format(format, std::forward<Args>(args)...));
+    }
+
+private:
+    void write(log_level level, std::string_view message) const;
+
+    std::string part_;
+};
+
+} // namespace medlaryoke
--- /dev/null
+++ b/Source/commands/command_line.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace medlaryoke::commands {
+
+/// Parses the command line and runs the chosen subcommand.
+/// @param argc number of arguments
+/// @param argv arguments; the first is the program's name
+/// @return the exit code: 0 for success, 1 for a failure that was reported on standard error,
+/// 2 for a wrong command line
+int run_command_line(int argc, char** argv);
+
+} // namespace medlaryoke::commands
--- /dev/null
+++ b/Source/policy/work_queue.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace medlaryoke::policy {
+
+/// A waiting request as the queue sees it.
+struct work_item {
+    std::uint64_t id = 0;  ///< unique within the queue
+    unsigned priority = 0; ///< order of the priority; 0 is the most urgent
+    std::string organisation;
+    double share = 1;      ///< weight of the organisation; positive
+    double cost = 1;       ///< expected work, in tokens; positive
+    time_point deadline{}; ///< after this an answer is worthless
+};
+
+struct priority_rule {
+    unsigned order = 0;
+    double floor = 0; ///< part of the served cost guaranteed while the priority has work, 0 to 1
+    double worth = 1;
+    duration first_token_target{};
+};
+
+struct work_queue_options {
+    std::vector<priority_rule> priorities;
+    std::size_t max_items = 10'000;
+};
+
+/// Queue of waiting requests: urgent first with floors for the other priorities, and weighted
+/// max-min shares of the organisations within a priority. Not thread safe.
+class work_queue {
+public:
+    explicit work_queue(work_queue_options options);
+    work_queue(work_queue&&) noexcept;
+    work_queue& operator=(work_queue&&) noexcept;
+    work_queue(const work_queue&) = delete;
+    work_queue& operator=(const work_queue&) = delete;
+    ~work_queue();
+
+    /// Adds a request. When the queue is full, an item of a less urgent priority, or of the
+    /// organisation furthest above its share, makes room.
+    /// @param item the request
+    /// @param now the current time
+    /// @return the items that were refused to stay within the limit; may contain the new item
+    std::vector<work_item> push(work_item item, time_point now);
+
+    /// Takes the request to serve next.
+    /// @param now the current time
+    /// @return the request, empty if none waits
+    std::optional<work_item> pop(time_point now);
+
+    /// Removes the requests whose deadline has passed.
+    /// @param now the current time
+    /// @return the removed requests
+    std::vector<work_item> expire(time_point now);
+
+    /// Removes one request, for example when its caller went away.
+    /// @param id the request
+    /// @return whether it was waiting
+    bool remove(std::uint64_t id);
+
+    /// Adds work that an organisation was served elsewhere, so that shares hold across entries.
+    /// @param priority order of the priority
+    /// @param organisation the organisation
+    /// @param cost the work, in tokens
+    void charge(unsigned priority, const std::string& organisation, double cost);
+
+    /// Replaces the rules after a change of configuration; waiting requests stay.
+    /// @param priorities the new rules
+    void set_priorities(std::vector<priority_rule> priorities);
+
+    /// @return number of waiting requests
+    [[nodiscard]] std::size_t size() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace medlaryoke::policy
--- /dev/null
+++ b/Source/transport/http_message.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace medlaryoke::transport {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+/// Finds a header without regard to case.
+/// @param headers the headers to search
+/// @param name the name to look for
+/// @return the value of the first match, empty if there is none
+std::string_view find_header(const std::vector<http_header>& headers, std::string_view name);
+
+struct http_request {
+    std::string method;
+    std::string target; ///< path and query
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+struct http_head {
+    unsigned status = 200;
+    std::vector<http_header> headers;
+};
+
+struct http_response {
+    http_head head;
+    std::string body;
+};
+
+} // namespace medlaryoke::transport
--- /dev/null
+++ b/Source/transport/runtime.cxx
@@ -0,0 +1,118 @@
+#include "transport/runtime_implementation.h"
+
+#include <algorithm>
+#include <csignal>
+#include <exception>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace medlaryoke::transport {
+
+namespace {
+
+void run_guarded(const logger& log, const std::function<void()>& fn)
+{
+    try {
+        fn();
+    }
+    catch (const std::exception& e) {
+        log.error("A task failed: {}.", e.what());
+    }
+}
+
+} // namespace
+
+timer_handle::timer_handle(std::shared_ptr<std::function<void()>> cancel)
+    : cancel_(std::move(cancel))
+{
+}
+
+void timer_handle::cancel()
+{
+    if (const auto fn = std::exchange(this->cancel_, nullptr)) {
+        (*fn)();
+    }
+}
+
+runtime::runtime(unsigned threads) : impl_(std::make_unique<implementation>(std::max(threads, 1U)))
+{
+}
+
+runtime::~runtime()
+{
+    this->stop();
+    for (auto& thread : this->impl_->threads) {
+        if (thread.get_id() == std::this_thread::get_id()) {
+            thread.detach();
+        }
+        else {
+            thread.join();
+        }
+    }
+}
+
+void runtime::post(std::function<void()> fn)
+{
+    boost::asio::post(this->impl_->context,
+                      [log = this->impl_->log, fn = std::move(fn)] { run_guarded(log, fn); });
+}
+
+timer_handle runtime::after(duration delay, std::function<void()> fn)
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(this->impl_->context);
+    const auto strand_guard = std::make_shared<std::mutex>();
+    timer->expires_after(delay);
+    timer->async_wait(
+        [log = this->impl_->log, timer, fn = std::move(fn)](const boost::system::error_code& ec) {
+            if (!ec) {
+                run_guarded(log, fn);
+            }
+        });
+    const std::weak_ptr<boost::asio::steady_timer> weak = timer;
+    return timer_handle(std::make_shared<std::function<void()>>([weak, strand_guard] {
+        // A timer is not thread safe; the lock serializes concurrent cancellations.
+        const std::scoped_lock lock(*strand_guard);
+        if (const auto target = weak.lock()) {
+            target->cancel();
+        }
+    }));
+}
+
+void runtime::on_termination_signal(std::function<void()> fn)
+{
+    this->impl_->signals.add(SIGTERM);
+    this->impl_->signals.add(SIGINT);
+    this->impl_->signals.async_wait(
+        [log = this->impl_->log, fn = std::move(fn)](const boost::system::error_code& ec, int) {
+            if (!ec) {
+                run_guarded(log, fn);
+            }
+        });
+}
+
+void runtime::start()
+{
+    for (unsigned n = 0; n < this->impl_->thread_count; ++n) {
+        this->impl_->threads.emplace_back([this] { this->impl_->context.run(); });
+    }
+}
+
+void runtime::wait()
+{
+    std::unique_lock lock(this->impl_->mutex);
+    this->impl_->stopped_changed.wait(lock, [this] { return this->impl_->stopped; });
+}
+
+void runtime::stop()
+{
+    {
+        const std::scoped_lock lock(this->impl_->mutex);
+        this->impl_->stopped = true;
+    }
+    this->impl_->stopped_changed.notify_all();
+    this->impl_->context.stop();
+}
+
+} // namespace medlaryoke::transport
--- /dev/null
+++ b/Source/transport/runtime_implementation.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "transport/asio_prelude.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "base/logging.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::transport {
+
+/// The Asio context and the threads behind a runtime; only for the sources of this folder.
+class runtime::implementation {
+public:
+    explicit implementation(unsigned count)
+        : context(static_cast<int>(count)), thread_count(count),
+          work(boost::asio::make_work_guard(context)), signals(context)
+    {
+    }
+
+    boost::asio::io_context context;
+    unsigned thread_count;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    boost::asio::signal_set signals;
+    std::vector<std::thread> threads;
+    std::mutex mutex;
+    std::condition_variable stopped_changed;
+    bool stopped = false;
+    logger log{"runtime"};
+};
+
+} // namespace medlaryoke::transport
