--- /dev/null
+++ b/Source/filters/request_filter.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "filters/filter_result.h"
+#include "filters/request_context.h"
+
+namespace medlaryoke::filters {
+
+/// One step of the request path. Filters hold no state of requests and are thread safe.
+class request_filter {
+public:
+    request_filter() = default;
+    request_filter(const request_filter&) = delete;
+    request_filter& operator=(const request_filter&) = delete;
+    request_filter(request_filter&&) = delete;
+    request_filter& operator=(request_filter&&) = delete;
+    virtual ~request_filter() = default;
+
+    /// @param context the request; the filter adds what it learned
+    /// @return whether the request goes on
+    virtual filter_result apply(request_context& context) const = 0;
+};
+
+} // namespace medlaryoke::filters
