queue: Add the request dispatcher

A request has to end exactly once as answered, not run or unknown, whoever decides first: the agent, the deadline or the caller. Queues are sharded by model group or service, and only one thread at a time assigns room of a group, so that two threads do not use the same room.

An attempt whose fate is unknown turns a later refusal into unknown.

--- /dev/null
+++ b/Source/controllers/request_dispatcher.cxx
@@ -0,0 +1,355 @@
+#include "controllers/request_dispatcher.h"
+
+#include <atomic>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <shared_mutex>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/logging.h"
+#include "controllers/refusal.h"
+
+namespace medlaryoke::controllers {
+
+namespace {
+
+/// Dispatches of one request, the first included.
+constexpr unsigned max_attempts = 4;
+/// Agents end late requests themselves and know better whether they were run.
+constexpr duration deadline_grace = std::chrono::milliseconds(250);
+
+using request_pointer = target_queue::request_pointer;
+
+wire::dispatch make_dispatch(const work_request& work)
+{
+    wire::dispatch message;
+    message.set_request_id(work.request_id);
+    message.set_priority(work.priority_order);
+    message.set_organisation(work.organisation);
+    message.set_share(work.share);
+    message.set_method(work.upstream_request.method);
+    message.set_target(work.upstream_request.target);
+    for (const auto& field : work.upstream_request.headers) {
+        auto* header = message.add_headers();
+        header->set_name(field.name);
+        header->set_value(field.value);
+    }
+    message.set_body(work.upstream_request.body);
+    message.set_stream(work.stream);
+    message.set_idempotent(work.idempotent);
+    message.set_idempotency_key(work.idempotency_key);
+    message.set_service(work.target);
+    message.set_cost(static_cast<std::uint64_t>(work.cost));
+    return message;
+}
+
+} // namespace
+
+class request_dispatcher::implementation
+    : public std::enable_shared_from_this<request_dispatcher::implementation> {
+public:
+    implementation(const clock_source& clock, dispatcher_options options,
+                   request_observer& observer)
+        : clock_(clock), options_(std::move(options)), observer_(observer)
+    {
+    }
+
+    void submit(work_request work, std::shared_ptr<transport::response_stream> response)
+    {
+        auto& queue = this->queue_of(work.target);
+        const auto request =
+            std::make_shared<pending_request>(++this->last_id_, std::move(work), response);
+        queue.open(request);
+        response->on_closed([weak = this->weak_from_this(), request] {
+            if (const auto self = weak.lock()) {
+                self->drop(request);
+            }
+        });
+        this->enqueue(request);
+    }
+
+    void set_upstreams(const std::string& target, std::vector<dispatch_target> upstreams)
+    {
+        auto& queue = this->queue_of(target);
+        queue.set_upstreams(std::move(upstreams));
+        this->dispatch_ready(queue);
+    }
+
+    void set_priorities(const std::vector<policy::priority_rule>& priorities)
+    {
+        const std::unique_lock lock(this->mutex_);
+        this->options_.priorities = priorities;
+        for (const auto& [target, queue] : this->queues_) {
+            queue->set_priorities(priorities);
+        }
+    }
+
+    void on_room(const std::string& target) { this->dispatch_ready(this->queue_of(target)); }
+
+    void tick()
+    {
+        const auto now = this->clock_.now();
+        for (auto* queue : this->all_queues()) {
+            for (const auto& request : queue->expire(now)) {
+                this->fail(request,
+                           {outcome::not_run, error_kind::deadline_exceeded,
+                            "the deadline passed while the request waited",
+                            "Send the request again, with more time or a higher priority."});
+            }
+            for (const auto& request : queue->open_requests()) {
+                if (now > request->request().deadline + deadline_grace && request->is_running()) {
+                    this->fail(request, {outcome::unknown, error_kind::deadline_exceeded,
+                                         "the deadline passed before the answer was complete",
+                                         "Send the request again with the same Idempotency-Key."});
+                }
+            }
+            this->dispatch_ready(*queue);
+        }
+    }
+
+    std::vector<queue_status> queues() const
+    {
+        const std::shared_lock lock(this->mutex_);
+        std::vector<queue_status> result;
+        for (const auto& [target, queue] : this->queues_) {
+            result.push_back(queue->status(target));
+        }
+        return result;
+    }
+
+private:
+    target_queue& queue_of(const std::string& target)
+    {
+        {
+            const std::shared_lock lock(this->mutex_);
+            const auto it = this->queues_.find(target);
+            if (it != this->queues_.end()) {
+                return *it->second;
+            }
+        }
+        const std::unique_lock lock(this->mutex_);
+        auto& queue = this->queues_[target];
+        if (queue == nullptr) {
+            queue = std::make_unique<target_queue>(
+                policy::work_queue_options{this->options_.priorities,
+                                           this->options_.max_queue_items},
+                this->options_.seed + this->queues_.size());
+        }
+        return *queue;
+    }
+
+    std::vector<target_queue*> all_queues() const
+    {
+        const std::shared_lock lock(this->mutex_);
+        std::vector<target_queue*> result;
+        for (const auto& [target, queue] : this->queues_) {
+            result.push_back(queue.get());
+        }
+        return result;
+    }
+
+    void enqueue(const request_pointer& request)
+    {
+        auto& queue = this->queue_of(request->request().target);
+        for (const auto& shed : queue.push(request, this->clock_.now())) {
+            this->fail(shed, {outcome::not_run, error_kind::overloaded,
+                              fmt::format("the queue of {} is full", shed->request().target),
+                              "Send the request again later."});
+        }
+        this->dispatch_ready(queue);
+    }
+
+    void dispatch_ready(target_queue& queue)
+    {
+        queue.dispatch_ready(
+            [this] { return this->clock_.now(); },
+            [this](const request_pointer& request, const dispatch_target& upstream) {
+                this->start(request, upstream);
+            });
+    }
+
+    void start(const request_pointer& request, const dispatch_target& upstream)
+    {
+        const auto attempt =
+            request->begin_attempt(upstream.upstream, upstream.link, this->clock_.now());
+        if (!attempt) {
+            return;
+        }
+        const auto& work = request->request();
+        const auto id = upstream.link->dispatch(make_dispatch(work), work.deadline,
+                                                this->make_events(request, *attempt));
+        if (request->set_dispatch_id(*attempt, id)) {
+            upstream.link->cancel(id);
+        }
+    }
+
+    dispatch_events make_events(const request_pointer& request, unsigned attempt)
+    {
+        const auto weak = this->weak_from_this();
+        dispatch_events events;
+        events.on_head = [request, attempt](const transport::http_head& head) {
+            request->on_head(attempt, head);
+        };
+        events.on_data = [weak, request, attempt](const std::string& data) {
+            if (const auto self = weak.lock()) {
+                self->on_data(request, attempt, data);
+            }
+        };
+        events.on_finished = [weak, request, attempt] {
+            if (const auto self = weak.lock()) {
+                self->settle(request, request->finish(attempt, self->clock_.now()), {});
+            }
+        };
+        events.on_refused = [weak, request, attempt](wire::refusal_reason reason,
+                                                     const std::string& message) {
+            if (const auto self = weak.lock()) {
+                self->on_refused(request, attempt, reason, message);
+            }
+        };
+        events.on_unknown = [weak, request, attempt](const std::string& message) {
+            if (const auto self = weak.lock()) {
+                self->on_unknown(request, attempt, message);
+            }
+        };
+        return events;
+    }
+
+    void on_data(const request_pointer& request, unsigned attempt, const std::string& data)
+    {
+        const auto problem = request->on_data(attempt, data, this->clock_.now());
+        if (!problem.empty()) {
+            this->log_.warning("request {} dropped: {}", request->request().request_id, problem);
+            this->drop(request);
+        }
+    }
+
+    void on_refused(const request_pointer& request, unsigned attempt, wire::refusal_reason reason,
+                    const std::string& message)
+    {
+        const auto meaning = explain_refusal(reason);
+        this->end_attempt(request, attempt, false, meaning.try_elsewhere,
+                          {outcome::not_run, meaning.kind, message, meaning.remedy});
+    }
+
+    void on_unknown(const request_pointer& request, unsigned attempt, const std::string& message)
+    {
+        this->end_attempt(request, attempt, true, request->request().idempotent,
+                          {outcome::unknown, error_kind::outcome_unknown, message,
+                           "Send the request again with the same Idempotency-Key."});
+    }
+
+    void end_attempt(const request_pointer& request, unsigned attempt, bool may_have_run,
+                     bool retryable, const request_failure& failure)
+    {
+        const auto now = this->clock_.now();
+        const auto allow = [this, retryable, attempt, now, &request] {
+            return retryable && attempt < max_attempts && now < request->request().deadline &&
+                   this->try_retry(now);
+        };
+        switch (request->end_attempt(attempt, may_have_run, allow, now)) {
+        case attempt_end::stale:
+            break;
+        case attempt_end::waits_again:
+            this->log_.debug("request {} tried again: {}", request->request().request_id,
+                             failure.message);
+            this->enqueue(request);
+            break;
+        case attempt_end::still_open:
+            this->fail(request, failure);
+            break;
+        }
+    }
+
+    bool try_retry(time_point) { return true; }
+
+    void fail(const request_pointer& request, const request_failure& failure)
+    {
+        std::optional<running_dispatch> running;
+        const auto record = request->fail(failure, this->clock_.now(), running);
+        this->settle(request, record, running);
+    }
+
+    void drop(const request_pointer& request)
+    {
+        std::optional<running_dispatch> running;
+        const auto record = request->drop(this->clock_.now(), running);
+        this->settle(request, record, running);
+    }
+
+    void settle(const request_pointer& request, const std::optional<request_record>& record,
+                const std::optional<running_dispatch>& running)
+    {
+        if (!record) {
+            return;
+        }
+        auto& queue = this->queue_of(request->request().target);
+        queue.close(request);
+        if (running && running->dispatch_id != 0) {
+            running->link->cancel(running->dispatch_id);
+        }
+        this->observer_.on_request_ended(*record);
+        this->dispatch_ready(queue);
+    }
+
+    const clock_source& clock_;
+    dispatcher_options options_;
+    request_observer& observer_;
+    logger log_{"queue"};
+    std::atomic<std::uint64_t> last_id_ = 0;
+    mutable std::shared_mutex mutex_;
+    std::map<std::string, std::unique_ptr<target_queue>> queues_;
+};
+
+request_dispatcher::request_dispatcher(const clock_source& clock, dispatcher_options options,
+                                       request_observer& observer)
+    : impl_(std::make_shared<implementation>(clock, std::move(options), observer))
+{
+}
+
+request_dispatcher::~request_dispatcher() = default;
+
+void request_dispatcher::submit(work_request request,
+                                std::shared_ptr<transport::response_stream> response)
+{
+    this->impl_->submit(std::move(request), std::move(response));
+}
+
+void request_dispatcher::set_upstreams(const std::string& target,
+                                       std::vector<dispatch_target> upstreams)
+{
+    this->impl_->set_upstreams(target, std::move(upstreams));
+}
+
+void request_dispatcher::set_priorities(const std::vector<policy::priority_rule>& priorities)
+{
+    this->impl_->set_priorities(priorities);
+}
+
+void request_dispatcher::on_room(const std::string& target)
+{
+    this->impl_->on_room(target);
+}
+
+void request_dispatcher::tick()
+{
+    this->impl_->tick();
+}
+
+std::vector<queue_status> request_dispatcher::queues() const
+{
+    return this->impl_->queues();
+}
+
+std::size_t request_dispatcher::open_requests() const
+{
+    std::size_t count = 0;
+    for (const auto& it : this->impl_->queues()) {
+        count += it.waiting + it.running;
+    }
+    return count;
+}
+
+} // namespace medlaryoke::controllers
--- /dev/null
+++ b/Source/controllers/request_record.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "controllers/outcome.h"
+
+namespace medlaryoke::controllers {
+
+/// How one request went, for statistics.
+struct request_record {
+    std::string target; ///< model group or service
+    std::string priority;
+    std::string organisation;
+    outcome result = outcome::not_run;
+    error_kind kind = error_kind::internal; ///< of a request that got no answer
+    bool cancelled = false;                 ///< the caller went away
+    bool within_target = false;             ///< answered within the targets of its priority
+    unsigned attempts = 0;                  ///< dispatches to agents
+    duration queue_wait{};                  ///< time in the queue of this entry
+    duration first_data{};                  ///< from receipt to the first part of the answer
+    duration total{};                       ///< from receipt to the end
+};
+
+/// Told of each request that ended; called on worker threads.
+class request_observer {
+public:
+    request_observer() = default;
+    request_observer(const request_observer&) = delete;
+    request_observer& operator=(const request_observer&) = delete;
+    request_observer(request_observer&&) = delete;
+    request_observer& operator=(request_observer&&) = delete;
+    virtual ~request_observer() = default;
+
+    /// @param record how the request went
+    virtual void on_request_ended(const request_record& record) = 0;
+};
+
+} // namespace medlaryoke::controllers
--- a/Source/filters/syntax_filter.cxx
+++ b/Source/filters/syntax_filter.cxx
@@ -28,7 +28,7 @@
 constexpr double default_answer_tokens = 256;
 constexpr std::int64_t max_answer_tokens = 1'000'000;
 
-[[noreturn]] void fail(std::string message, std::string remedy)
+[[noreturn]] void fail(const std::string& message, std::string remedy)
 {
     throw error(error_kind::invalid_argument, message, std::move(remedy));
 }
