--- a/Source/policy/work_queue.h
+++ b/Source/policy/work_queue.h
@@ -18,7 +18,7 @@
     std::string organisation;
     double share = 1;      ///< weight of the organisation; positive
     double cost = 1;       ///< expected work, in tokens; positive
-    time_point deadline{}; ///< after this an answer is worthless
+    time_point deadline{}; ///< after this an answer is worthless; the epoch means none
 };
 
 struct priority_rule {
@@ -31,6 +31,8 @@
 struct work_queue_options {
     std::vector<priority_rule> priorities;
     std::size_t max_items = 10'000;
+    /// Most cost per unit of share that charge() may put an organisation behind the others.
+    double max_debt = 1'000'000;
 };
 
 /// Queue of waiting requests: urgent first with floors for the other priorities, and weighted
@@ -51,14 +53,15 @@
     /// @return the items that were refused to stay within the limit; may contain the new item
     std::vector<work_item> push(work_item item, time_point now);
 
-    /// Takes the request to serve next.
+    /// Takes the request to serve next; never one whose deadline has passed. Those leave size()
+    /// and are returned by the next expire().
     /// @param now the current time
     /// @return the request, empty if none waits
     std::optional<work_item> pop(time_point now);
 
     /// Removes the requests whose deadline has passed.
     /// @param now the current time
-    /// @return the removed requests
+    /// @return the requests removed since the last call, including those found by push and pop
     std::vector<work_item> expire(time_point now);
 
     /// Removes one request, for example when its caller went away.
@@ -70,7 +73,8 @@
     /// @param priority order of the priority
     /// @param organisation the organisation
     /// @param cost the work, in tokens
-    void charge(unsigned priority, const std::string& organisation, double cost);
+    /// @param share weight of the organisation; 0 if it is that of its last request here
+    void charge(unsigned priority, const std::string& organisation, double cost, double share = 0);
 
     /// Replaces the rules after a change of configuration; waiting requests stay.
     /// @param priorities the new rules
--- /dev/null
+++ b/Tests/policy/test_work_queue.cxx
@@ -0,0 +1,383 @@
+#include "policy/work_queue.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+#include <tuple>
+#include <utility>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+using medlaryoke::time_point;
+using medlaryoke::policy::priority_rule;
+using medlaryoke::policy::work_item;
+using medlaryoke::policy::work_queue;
+using medlaryoke::policy::work_queue_options;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::vector<priority_rule> three_priorities = {
+    {.order = 0, .floor = 0.3}, {.order = 1, .floor = 0.2}, {.order = 2, .floor = 0.1}};
+
+/// Naive version: scans all requests, keeps every organisation for ever.
+class naive_queue {
+public:
+    explicit naive_queue(work_queue_options options) : options_(std::move(options))
+    {
+        for (const auto& it : this->options_.priorities) {
+            this->floors_[it.order] = it.floor;
+        }
+    }
+
+    std::vector<std::uint64_t> push(const work_item& item, time_point now)
+    {
+        this->drop_expired(now);
+        auto& tag = this->tags_[{item.priority, item.organisation}];
+        if (this->count(item.priority, &item.organisation) == 0) {
+            tag = std::max(tag, this->virtual_times_[item.priority]);
+        }
+        this->shares_[{item.priority, item.organisation}] = item.share;
+        this->items_.push_back(item);
+        std::vector<std::uint64_t> refused;
+        while (this->items_.size() > this->options_.max_items) {
+            refused.push_back(this->evict());
+        }
+        return refused;
+    }
+
+    std::uint64_t pop(time_point now)
+    {
+        this->drop_expired(now);
+        if (this->items_.empty()) {
+            return 0;
+        }
+        unsigned urgent = 99;
+        for (const auto& it : this->items_) {
+            urgent = std::min(urgent, it.priority);
+        }
+        auto chosen = urgent;
+        double most = 0;
+        for (const auto& [order, credit] : this->credits_) {
+            if (this->count(order, nullptr) > 0 && credit > most) {
+                most = credit;
+                chosen = order;
+            }
+        }
+        auto best = this->items_.end();
+        for (auto it = this->items_.begin(); it != this->items_.end(); ++it) {
+            if (it->priority == chosen &&
+                (best == this->items_.end() || this->before(*it, *best))) {
+                best = it;
+            }
+        }
+        const auto item = *best;
+        for (const auto& [order, floor] : this->floors_) {
+            if (order == chosen && this->credits_[order] > 0) {
+                this->credits_[order] += floor * item.cost - item.cost;
+            }
+            else if (order != chosen && this->count(order, nullptr) > 0) {
+                this->credits_[order] += floor * item.cost;
+            }
+        }
+        auto& tag = this->tags_[{chosen, item.organisation}];
+        this->virtual_times_[chosen] = std::max(this->virtual_times_[chosen], tag);
+        tag += item.cost / item.share;
+        this->erase(best);
+        return item.id;
+    }
+
+    std::vector<std::uint64_t> expire(time_point now)
+    {
+        this->drop_expired(now);
+        return std::exchange(this->expired_, {});
+    }
+
+    bool remove(std::uint64_t id)
+    {
+        const auto it = std::ranges::find(this->items_, id, &work_item::id);
+        if (it == this->items_.end()) {
+            return false;
+        }
+        this->erase(it);
+        return true;
+    }
+
+    void charge(unsigned priority, const std::string& organisation, double cost, double share)
+    {
+        auto& tag = this->tags_[{priority, organisation}];
+        const auto now = this->virtual_times_[priority];
+        this->shares_[{priority, organisation}] = share;
+        const auto base = std::max(tag, now);
+        tag = std::max(base, std::min(base + cost / share, now + this->options_.max_debt / share));
+    }
+
+    std::size_t size() const { return this->items_.size(); }
+
+private:
+    using key = std::pair<unsigned, std::string>;
+
+    std::size_t count(unsigned priority, const std::string* organisation) const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(this->items_, [&](const auto& it) {
+            return it.priority == priority &&
+                   (organisation == nullptr || it.organisation == *organisation);
+        }));
+    }
+
+    bool before(const work_item& a, const work_item& b) const
+    {
+        const auto ta = this->tags_.at({a.priority, a.organisation});
+        const auto tb = this->tags_.at({b.priority, b.organisation});
+        return std::tie(ta, a.organisation) < std::tie(tb, b.organisation);
+    }
+
+    double backlog(const work_item& item) const
+    {
+        double sum = 0;
+        for (const auto& it : this->items_) {
+            if (it.priority == item.priority && it.organisation == item.organisation) {
+                sum += it.cost;
+            }
+        }
+        return sum / this->shares_.at({item.priority, item.organisation});
+    }
+
+    std::uint64_t evict()
+    {
+        auto victim = this->items_.end();
+        std::tuple<unsigned, double, std::string> most;
+        for (auto it = this->items_.begin(); it != this->items_.end(); ++it) {
+            const auto floor =
+                this->floors_.contains(it->priority) ? this->floors_[it->priority] : 0;
+            if (static_cast<double>(this->count(it->priority, nullptr)) <=
+                floor * static_cast<double>(this->options_.max_items)) {
+                continue;
+            }
+            const std::tuple candidate(it->priority, this->backlog(*it), it->organisation);
+            if (victim == this->items_.end() || candidate >= most) {
+                most = candidate;
+                victim = it;
+            }
+        }
+        const auto id = victim->id;
+        this->erase(victim);
+        return id;
+    }
+
+    void erase(std::vector<work_item>::iterator it)
+    {
+        const auto priority = it->priority;
+        this->items_.erase(it);
+        if (this->count(priority, nullptr) == 0) {
+            this->credits_[priority] = std::min(this->credits_[priority], 0.0);
+        }
+    }
+
+    void drop_expired(time_point now)
+    {
+        while (true) {
+            auto first = this->items_.end();
+            for (auto it = this->items_.begin(); it != this->items_.end(); ++it) {
+                if (it->deadline != time_point{} && it->deadline <= now &&
+                    (first == this->items_.end() ||
+                     std::tie(it->deadline, it->id) < std::tie(first->deadline, first->id))) {
+                    first = it;
+                }
+            }
+            if (first == this->items_.end()) {
+                return;
+            }
+            this->expired_.push_back(first->id);
+            this->erase(first);
+        }
+    }
+
+    work_queue_options options_;
+    std::vector<work_item> items_; ///< in order of arrival
+    std::vector<std::uint64_t> expired_;
+    std::map<key, double> tags_;
+    std::map<key, double> shares_;
+    std::map<unsigned, double> floors_;
+    std::map<unsigned, double> credits_;
+    std::map<unsigned, double> virtual_times_;
+};
+
+std::vector<std::uint64_t> ids_of(const std::vector<work_item>& items)
+{
+    std::vector<std::uint64_t> ids;
+    std::ranges::transform(items, std::back_inserter(ids), &work_item::id);
+    return ids;
+}
+
+void compare_with_naive(std::uint64_t seed)
+{
+    std::mt19937_64 random(seed);
+    const auto draw = [&](std::uint64_t n) { return random() % n; };
+    const work_queue_options options{
+        .priorities = three_priorities, .max_items = 5 + draw(40), .max_debt = 64};
+    work_queue queue(options);
+    naive_queue naive(options);
+    time_point now{1s};
+    std::uint64_t next_id = 1;
+    for (int i = 0; i < 600; ++i) {
+        now += std::chrono::milliseconds(draw(3));
+        const auto organisation = fmt::format("o{}", draw(6));
+        // Powers of two keep the sums exact in whatever order they are added.
+        const auto share = static_cast<double>(1U << (organisation.back() % 3U));
+        switch (draw(8)) {
+        case 0:
+            cr_assert(ids_of(queue.expire(now)) == naive.expire(now), "seed %lu", seed);
+            break;
+        case 1: {
+            const auto id = 1 + draw(next_id);
+            cr_assert(queue.remove(id) == naive.remove(id), "seed %lu", seed);
+            break;
+        }
+        case 2: {
+            const auto priority = static_cast<unsigned>(draw(3));
+            queue.charge(priority, organisation, 16, share);
+            naive.charge(priority, organisation, 16, share);
+            break;
+        }
+        case 3:
+        case 4: {
+            const auto item = queue.pop(now);
+            cr_assert((item ? item->id : 0) == naive.pop(now), "seed %lu step %d", seed, i);
+            break;
+        }
+        default: {
+            const work_item item{.id = next_id++,
+                                 .priority = static_cast<unsigned>(draw(4)),
+                                 .organisation = organisation,
+                                 .share = share,
+                                 .cost = static_cast<double>(1 + draw(16)),
+                                 .deadline = draw(3) == 0
+                                                 ? time_point{}
+                                                 : now + std::chrono::milliseconds(draw(90))};
+            cr_assert(ids_of(queue.push(item, now)) == naive.push(item, now), "seed %lu step %d",
+                      seed, i);
+        }
+        }
+        cr_assert(queue.size() == naive.size(), "seed %lu step %d", seed, i);
+    }
+}
+
+} // namespace
+
+// Guards against the indexes of the queue disagreeing with a plain scan of all requests.
+Test(work_queue, agrees_with_the_naive_version)
+{
+    for (std::uint64_t seed = 1; seed <= 150; ++seed) {
+        compare_with_naive(seed);
+    }
+}
+
+// Guards against a flood of urgent work starving the others, and against floors served late.
+Test(work_queue, floors_hold_from_the_start_of_an_urgent_flood)
+{
+    work_queue queue({.priorities = three_priorities, .max_items = 10'000});
+    std::uint64_t id = 0;
+    for (int i = 0; i < 3'000; ++i) {
+        queue.push({.id = ++id, .priority = 2, .organisation = "b", .cost = 7}, time_point{1s});
+    }
+    for (int i = 0; i < 1'000; ++i) {
+        queue.pop(time_point{1s}); // an idle period in which batch takes everything
+    }
+    std::map<unsigned, double> served;
+    double total = 0;
+    for (int i = 0; i < 3'000; ++i) {
+        queue.push({.id = ++id, .priority = 0, .organisation = "u", .cost = 3}, time_point{1s});
+        queue.push({.id = ++id, .priority = 1, .organisation = "n", .cost = 5}, time_point{1s});
+    }
+    for (int i = 0; i < 2'000; ++i) {
+        const auto item = queue.pop(time_point{1s});
+        served[item->priority] += item->cost;
+        total += item->cost;
+        cr_assert(served[2] >= 0.1 * total - 7, "batch below its floor after %d", i);
+        cr_assert(served[1] >= 0.2 * total - 7, "normal below its floor after %d", i);
+    }
+    cr_assert(served[0] >= 0.68 * total, "urgent work was not first beyond the floors");
+}
+
+// Guards against a large caller taking the part of small ones, and against shares being ignored.
+Test(work_queue, organisations_get_weighted_shares)
+{
+    work_queue queue({.priorities = three_priorities, .max_items = 10'000});
+    std::uint64_t id = 0;
+    for (int i = 0; i < 2'000; ++i) {
+        queue.push({.id = ++id, .organisation = "large", .share = 1, .cost = 10}, time_point{1s});
+        queue.push({.id = ++id, .organisation = "double", .share = 2, .cost = 5}, time_point{1s});
+    }
+    for (int i = 0; i < 10; ++i) {
+        queue.push({.id = ++id, .organisation = "small", .cost = 1}, time_point{1s});
+    }
+    std::map<std::string, double> served;
+    for (int i = 0; i < 1'000; ++i) {
+        const auto item = queue.pop(time_point{1s});
+        served[item->organisation] += item->cost;
+    }
+    cr_assert(served["small"] == 10, "a small caller waits behind large ones");
+    cr_assert(served["double"] > 1.95 * served["large"]);
+    cr_assert(served["double"] < 2.05 * served["large"]);
+}
+
+// Guards against an organisation getting its share once at every entry.
+Test(work_queue, work_served_elsewhere_counts)
+{
+    work_queue queue({.priorities = three_priorities});
+    for (std::uint64_t id = 1; id <= 40; id += 2) {
+        queue.push({.id = id, .organisation = "a"}, time_point{1s});
+        queue.push({.id = id + 1, .organisation = "b"}, time_point{1s});
+    }
+    queue.charge(0, "a", 10, 1);
+    for (int i = 0; i < 10; ++i) {
+        cr_assert(queue.pop(time_point{1s})->organisation == "b");
+    }
+}
+
+// Guards against a full queue refusing urgent work, and against an urgent flood evicting all the
+// work that a floor is meant for.
+Test(work_queue, full_queue_evicts_least_urgent_beyond_its_floor)
+{
+    work_queue queue({.priorities = three_priorities, .max_items = 100});
+    std::uint64_t id = 0;
+    for (int i = 0; i < 100; ++i) {
+        queue.push({.id = ++id, .priority = 2, .organisation = i < 30 ? "x" : "y"}, time_point{1s});
+    }
+    const auto first = queue.push({.id = ++id, .priority = 0, .organisation = "u"}, time_point{1s});
+    cr_assert(first.size() == 1 && first[0].organisation == "y", "not the one above its share");
+    for (int i = 0; i < 200; ++i) {
+        queue.push({.id = ++id, .priority = 0, .organisation = "u"}, time_point{1s});
+    }
+    std::map<unsigned, int> waiting;
+    while (const auto item = queue.pop(time_point{1s})) {
+        ++waiting[item->priority];
+    }
+    cr_assert(waiting[2] == 10 && waiting[0] == 90, "%d batch, %d urgent", waiting[2], waiting[0]);
+}
+
+// Guards against late requests costing engine time, or vanishing without an answer.
+Test(work_queue, late_requests_are_reported_and_not_served)
+{
+    work_queue queue({.priorities = three_priorities});
+    queue.push({.id = 1, .organisation = "a", .deadline = time_point{2s}}, time_point{1s});
+    queue.push({.id = 2, .organisation = "a", .deadline = time_point{9s}}, time_point{1s});
+    cr_assert(queue.pop(time_point{2s})->id == 2);
+    cr_assert(queue.size() == 0);
+    cr_assert(ids_of(queue.expire(time_point{2s})) == std::vector<std::uint64_t>{1});
+    cr_assert(queue.expire(time_point{3s}).empty());
+}
+
+// Guards against waiting requests being lost when the priorities are reconfigured.
+Test(work_queue, keeps_requests_when_priorities_change)
+{
+    work_queue queue({.priorities = three_priorities});
+    queue.push({.id = 1, .priority = 2, .organisation = "a"}, time_point{1s});
+    queue.set_priorities({{.order = 0, .floor = 0.9}, {.order = 1, .floor = 0.9}});
+    queue.push({.id = 2, .priority = 0, .organisation = "a"}, time_point{1s});
+    cr_assert(queue.pop(time_point{1s})->id == 2);
+    cr_assert(queue.pop(time_point{1s})->id == 1);
+}
