--- a/Source/controllers/request_dispatcher.cxx
+++ b/Source/controllers/request_dispatcher.cxx
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
 #include <map>
 #include <optional>
 #include <shared_mutex>
@@ -63,9 +64,11 @@
         const auto request =
             std::make_shared<pending_request>(++this->last_id_, std::move(work), response);
         queue.open(request);
-        response->on_closed([weak = this->weak_from_this(), request] {
-            if (const auto self = weak.lock()) {
-                self->drop(request);
+        response->on_closed([weak = this->weak_from_this(), weak_request = std::weak_ptr(request)] {
+            const auto self = weak.lock();
+            const auto closed = weak_request.lock();
+            if (self != nullptr && closed != nullptr) {
+                self->drop(closed);
             }
         });
         this->enqueue(request);
@@ -179,10 +182,15 @@
             return;
         }
         const auto& work = request->request();
-        const auto id = upstream.link->dispatch(make_dispatch(work), work.deadline,
-                                                this->make_events(request, *attempt));
-        if (request->set_dispatch_id(*attempt, id)) {
-            upstream.link->cancel(id);
+        try {
+            const auto id = upstream.link->dispatch(make_dispatch(work), work.deadline,
+                                                    this->make_events(request, *attempt));
+            if (request->set_dispatch_id(*attempt, id)) {
+                upstream.link->cancel(id);
+            }
+        }
+        catch (const std::exception& e) {
+            this->on_unknown(request, *attempt, e.what());
         }
     }
 
@@ -247,7 +255,7 @@
         const auto now = this->clock_.now();
         const auto allow = [this, retryable, attempt, now, &request] {
             return retryable && attempt < max_attempts && now < request->request().deadline &&
-                   this->try_retry(now);
+                   this->queue_of(request->request().target).try_retry();
         };
         switch (request->end_attempt(attempt, may_have_run, allow, now)) {
         case attempt_end::stale:
@@ -263,8 +271,6 @@
         }
     }
 
-    bool try_retry(time_point) { return true; }
-
     void fail(const request_pointer& request, const request_failure& failure)
     {
         std::optional<running_dispatch> running;
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -64,6 +64,13 @@
 {
     const std::scoped_lock lock(this->mutex_);
     this->open_.emplace(request->id(), request);
+    this->retries_.on_request();
+}
+
+bool target_queue::try_retry()
+{
+    const std::scoped_lock lock(this->mutex_);
+    return this->retries_.try_retry();
 }
 
 std::vector<target_queue::request_pointer> target_queue::push(const request_pointer& request,
--- a/Source/controllers/target_queue.h
+++ b/Source/controllers/target_queue.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "controllers/pending_request.h"
 #include "controllers/upstream_link.h"
+#include "policy/retry_budget.h"
 #include "policy/upstream_selector.h"
 #include "policy/work_queue.h"
 
@@ -52,6 +53,10 @@
     /// Forgets a request that has ended.
     void close(const request_pointer& request);
 
+    /// Takes the token of one retry; requests earn them when they are opened.
+    /// @return whether a request may be tried again
+    bool try_retry();
+
     /// Calls a function for each request that can go to an upstream now. Only one thread does so
     /// at a time, so that none sees room that another one is about to use.
     /// @param now returns the current time
@@ -91,6 +96,7 @@
     mutable std::mutex mutex_;
     policy::work_queue queue_;
     policy::upstream_selector selector_;
+    policy::retry_budget retries_;
     upstream_list upstreams_;
     std::unordered_map<std::uint64_t, request_pointer> open_;
     bool dispatching_ = false;    ///< a thread is in dispatch_ready
--- /dev/null
+++ b/Tests/fakes/fake_response_stream.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "transport/http_server.h"
+
+namespace medlaryoke::fakes {
+
+/// Keeps a reply for the test to look at.
+class fake_response_stream final : public transport::response_stream {
+public:
+    void respond(transport::http_response response) override
+    {
+        this->start(std::move(response.head));
+        this->body += response.body;
+        this->finish();
+    }
+
+    void start(transport::http_head started) override { this->head = std::move(started); }
+
+    std::size_t write(std::string data) override
+    {
+        this->body += data;
+        return this->unsent;
+    }
+
+    void finish() override { ++this->ends; }
+
+    void abort() override { this->aborted = true; }
+
+    void on_closed(std::function<void()> fn) override { this->closed = std::move(fn); }
+
+    /// @return the header that reports the outcome
+    [[nodiscard]] std::string outcome() const
+    {
+        return this->head
+                   ? std::string(transport::find_header(this->head->headers, "Medlaryoke-Outcome"))
+                   : "";
+    }
+
+    std::optional<transport::http_head> head;
+    std::string body;
+    int ends = 0;
+    bool aborted = false;
+    std::size_t unsent = 0; ///< returned by write
+    std::function<void()> closed;
+};
+
+} // namespace medlaryoke::fakes
--- /dev/null
+++ b/Tests/fakes/fake_upstream_link.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "controllers/upstream_link.h"
+
+namespace medlaryoke::fakes {
+
+/// Keeps dispatches for the test to answer.
+class fake_upstream_link final : public controllers::upstream_link {
+public:
+    struct call {
+        wire::dispatch request;
+        controllers::dispatch_events events;
+    };
+
+    explicit fake_upstream_link(unsigned limit = 4)
+    {
+        this->state.connected = true;
+        this->state.load.set_upstream_up(true);
+        this->state.load.set_limit(limit);
+    }
+
+    std::uint64_t dispatch(wire::dispatch request, time_point,
+                           controllers::dispatch_events events) override
+    {
+        this->calls.push_back({std::move(request), std::move(events)});
+        ++this->state.dispatched_since_report;
+        return this->calls.size();
+    }
+
+    void cancel(std::uint64_t dispatch_id) override { this->cancelled.push_back(dispatch_id); }
+
+    [[nodiscard]] controllers::agent_link_view view() const override { return this->state; }
+
+    controllers::agent_link_view state;
+    std::vector<call> calls;
+    std::vector<std::uint64_t> cancelled;
+};
+
+} // namespace medlaryoke::fakes
