transport: Add the HTTP server and client, message channels and platform clients

The interfaces of transport were declared only, and the other folders need them to run.

- HTTP server and client on Beast with a strand for each connection.
The client never repeats a request; a failure states whether a byte of it may have left the process.
- ROUTER and DEALER channels on the runtime.
A DEALER makes one connection only, because ZeroMQ would otherwise carry unsent frames over to the next connection.
- Clients of the platform's log and instance list, and the JSON body of error replies.

50,000 frames pass a channel and back in order, and streamed replies arrive whole.

--- /dev/null
+++ b/Source/transport/error_response.cxx
@@ -0,0 +1,30 @@
+#include "transport/error_response.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace medlaryoke::transport {
+
+http_response make_error_response(const error& failure, std::string_view outcome)
+{
+    const nlohmann::json body{{"error",
+                               {{"kind", to_string(failure.kind())},
+                                {"message", failure.what()},
+                                {"remedy", failure.remedy()}}},
+                              {"outcome", outcome}};
+    constexpr int no_indent = -1;
+    // A message may quote bytes of a request that are not valid UTF-8.
+    auto response = make_json_response(
+        http_status(failure.kind()),
+        body.dump(no_indent, ' ', false, nlohmann::json::error_handler_t::replace));
+    response.head.headers.push_back({"Medlaryoke-Outcome", std::string(outcome)});
+    return response;
+}
+
+http_response make_json_response(unsigned status, std::string body)
+{
+    return {{status, {{"Content-Type", "application/json"}}}, std::move(body)};
+}
+
+} // namespace medlaryoke::transport
--- /dev/null
+++ b/Source/transport/error_response.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string_view>
+
+#include "base/error.h"
+#include "transport/http_message.h"
+
+namespace medlaryoke::transport {
+
+/// Makes the reply that reports an error:
+/// `{"error":{"kind","message","remedy"},"outcome"}` and the header `Medlaryoke-Outcome`.
+/// @param failure what went wrong; its kind gives the status
+/// @param outcome `not-run`, `unknown` or `answered`
+/// @return the whole reply
+http_response make_error_response(const error& failure, std::string_view outcome = "not-run");
+
+/// Makes a reply with a JSON body.
+/// @param status the HTTP status
+/// @param body the serialized JSON
+/// @return the whole reply
+http_response make_json_response(unsigned status, std::string body);
+
+} // namespace medlaryoke::transport
--- /dev/null
+++ b/Source/transport/log_client.cxx
@@ -0,0 +1,169 @@
+#include "transport/log_client.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "transport/base64.h"
+#include "transport/http_client.h"
+
+namespace medlaryoke::transport {
+
+namespace {
+
+using json = nlohmann::json;
+using fetch_result = std::variant<http_response, http_failure>;
+
+/// These statuses say that the record was refused; any other failure may hide a stored record.
+constexpr std::array<unsigned, 8> refusing_statuses{400, 401, 403, 404, 413, 414, 429, 503};
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_gone = 410;
+constexpr unsigned refusing_first = 400;
+
+http_timeouts make_timeouts(duration limit, duration wait)
+{
+    http_timeouts timeouts;
+    timeouts.connect = std::min<duration>(timeouts.connect, limit);
+    timeouts.write = limit;
+    timeouts.first_byte = limit + wait;
+    timeouts.between_bytes = limit;
+    return timeouts;
+}
+
+std::optional<std::uint64_t> get_number(const json& object, const char* key)
+{
+    const auto it = object.find(key);
+    if (it == object.end() || !it->is_number_unsigned()) {
+        return std::nullopt;
+    }
+    return it->get<std::uint64_t>();
+}
+
+append_result to_append_result(const fetch_result& result)
+{
+    if (const auto* failure = std::get_if<http_failure>(&result)) {
+        if (failure->maybe_sent) {
+            return append_ambiguous{failure->message};
+        }
+        return append_rejected{failure->message};
+    }
+    const auto& response = std::get<http_response>(result);
+    const auto status = response.head.status;
+    if (status != status_ok) {
+        auto reason = fmt::format("log service answered {}", status);
+        if (std::ranges::find(refusing_statuses, status) != refusing_statuses.end()) {
+            return append_rejected{std::move(reason)};
+        }
+        return append_ambiguous{std::move(reason)};
+    }
+    const auto body = json::parse(response.body, nullptr, false);
+    if (body.is_object()) {
+        if (const auto offset = get_number(body, "offset")) {
+            return append_done{*offset};
+        }
+    }
+    return append_ambiguous{"log service answered without an offset"};
+}
+
+std::optional<read_result> parse_records(const json& body, std::uint64_t from)
+{
+    const auto earliest = get_number(body, "earliest");
+    const auto next = get_number(body, "next");
+    const auto records = body.find("records");
+    if (!earliest || !next || records == body.end() || !records->is_array()) {
+        return std::nullopt;
+    }
+    read_records out{*earliest, *next, {}};
+    out.records.reserve(records->size());
+    for (const auto& item : *records) {
+        const auto offset = item.is_object() ? get_number(item, "offset") : std::nullopt;
+        if (!offset || *offset < from || !item.contains("data") || !item["data"].is_string()) {
+            return std::nullopt;
+        }
+        auto data = decode_base64(item["data"].get_ref<const std::string&>());
+        if (!data) {
+            return std::nullopt;
+        }
+        from = *offset + 1;
+        out.records.push_back({*offset, std::move(*data)});
+    }
+    return out;
+}
+
+read_result to_read_result(const fetch_result& result, std::uint64_t from)
+{
+    if (const auto* failure = std::get_if<http_failure>(&result)) {
+        return read_unavailable{failure->message};
+    }
+    const auto& response = std::get<http_response>(result);
+    const auto body = json::parse(response.body, nullptr, false);
+    if (body.is_object()) {
+        const auto earliest = get_number(body, "earliest");
+        if (response.head.status == status_gone && earliest) {
+            return read_expired{*earliest};
+        }
+        if (response.head.status == status_ok) {
+            if (auto records = parse_records(body, from)) {
+                return std::move(*records);
+            }
+        }
+    }
+    if (response.head.status < refusing_first) {
+        return read_unavailable{"log service answered with malformed records"};
+    }
+    return read_unavailable{fmt::format("log service answered {}", response.head.status)};
+}
+
+} // namespace
+
+class log_client::implementation {
+public:
+    implementation(runtime& context, std::string address, duration limit)
+        : client(context, std::move(address)), request_timeout(limit)
+    {
+    }
+
+    http_client client;
+    duration request_timeout;
+};
+
+log_client::log_client(runtime& context, std::string address, duration request_timeout)
+    : impl_(std::make_unique<implementation>(context, std::move(address), request_timeout))
+{
+}
+
+log_client::~log_client() = default;
+
+void log_client::append(const std::string& stream, std::string data,
+                        std::function<void(append_result)> done)
+{
+    this->impl_->client.fetch(
+        {"POST",
+         fmt::format("/streams/{}/records", stream),
+         {{"Content-Type", "application/octet-stream"}},
+         std::move(data)},
+        make_timeouts(this->impl_->request_timeout, {}),
+        [done = std::move(done)](const fetch_result& result) { done(to_append_result(result)); });
+}
+
+void log_client::read(const std::string& stream, std::uint64_t from, std::size_t limit,
+                      duration wait, std::function<void(read_result)> done)
+{
+    const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    this->impl_->client.fetch({"GET",
+                               fmt::format("/streams/{}/records?from={}&limit={}&wait_ms={}",
+                                           stream, from, limit, wait_ms),
+                               {},
+                               {}},
+                              make_timeouts(this->impl_->request_timeout, wait),
+                              [from, done = std::move(done)](const fetch_result& result) {
+                                  done(to_read_result(result, from));
+                              });
+}
+
+} // namespace medlaryoke::transport
--- a/Source/transport/runtime_implementation.h
+++ b/Source/transport/runtime_implementation.h
@@ -26,6 +26,8 @@
     {
     }
 
+    // Destroyed last: its destructor waits for the sockets that pending handlers still hold.
+    std::shared_ptr<void> message_context; ///< ZeroMQ context, made on first use
     boost::asio::io_context context;
     unsigned thread_count;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
