--- /dev/null
+++ b/Source/controllers/peer_network.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "controllers/peer_directory.h"
+#include "model/wire.pb.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::controllers {
+
+/// Interval at which entries tell one another their state.
+constexpr duration peer_report_interval = std::chrono::milliseconds(500);
+/// Three reports; a peer that is silent for longer counts as failed.
+constexpr duration peer_silence_limit = std::chrono::milliseconds(1500);
+
+struct peer_network_options {
+    std::string address;            ///< IP address and port for other entries
+    std::vector<std::string> peers; ///< addresses of other entries from the settings
+    unsigned watched_peers = 8;     ///< most entries that this one connects to
+};
+
+struct peer_network_events {
+    std::function<wire::peer_state()> own_state;
+    /// Configuration messages; returns what to send back, if anything.
+    std::function<std::optional<wire::frame>(const wire::frame&)> on_config_frame;
+};
+
+/// Exchanges peer_state and configuration messages with other entries. Connects to a bounded
+/// number of them, chosen by rendezvous hashing, and answers those that connect to it. Thread safe.
+class peer_network {
+public:
+    /// @param context runs the channels
+    /// @param clock the time; outlives this object
+    /// @param options addresses and limits
+    /// @param directory told of each state received; outlives this object
+    /// @param events callbacks
+    /// @throws error of kind unavailable if the address cannot be bound
+    peer_network(transport::runtime& context, const clock_source& clock,
+                 peer_network_options options, peer_directory& directory,
+                 peer_network_events events);
+    peer_network(const peer_network&) = delete;
+    peer_network& operator=(const peer_network&) = delete;
+    peer_network(peer_network&&) = delete;
+    peer_network& operator=(peer_network&&) = delete;
+    ~peer_network();
+
+    /// @return the bound IP address and port
+    [[nodiscard]] std::string address() const;
+
+    /// @param addresses entries in the platform's instance list; added to those in the settings
+    void set_listed(const std::vector<std::string>& addresses);
+
+    /// Tells all connected entries the state of this one now.
+    void announce();
+
+    class implementation;
+
+private:
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace medlaryoke::controllers
--- /dev/null
+++ b/Source/controllers/request_statistics.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "controllers/request_record.h"
+
+namespace medlaryoke::controllers {
+
+/// Counters for the burn report. A request is a miss if it got no complete answer within the
+/// targets of its priority; each miss has one cause. Requests whose caller went away are no miss.
+struct request_sample {
+    std::string priority;
+    std::string organisation;
+    std::string target; ///< model group or service
+    std::uint64_t total = 0;
+    std::uint64_t within_target = 0;
+    std::uint64_t missed_queueing = 0; ///< late mostly by waiting in the queue
+    std::uint64_t missed_upstream = 0; ///< late mostly by the agent or the upstream
+    std::uint64_t missed_refusal = 0;  ///< not run
+    std::uint64_t missed_unknown = 0;
+    std::uint64_t cancelled = 0; ///< the caller went away
+};
+
+/// Counts requests and their latencies. Thread safe.
+class request_statistics final : public request_observer {
+public:
+    request_statistics();
+    request_statistics(const request_statistics&) = delete;
+    request_statistics& operator=(const request_statistics&) = delete;
+    request_statistics(request_statistics&&) = delete;
+    request_statistics& operator=(request_statistics&&) = delete;
+    ~request_statistics() override;
+
+    void on_request_ended(const request_record& record) override;
+
+    /// Counts a request that the filters refused.
+    /// @param kind why
+    void on_filter_refusal(error_kind kind);
+
+    /// @return counters since the start of this process, in order of their keys
+    [[nodiscard]] std::vector<request_sample> samples() const;
+
+    /// @return all metrics in the Prometheus text format
+    [[nodiscard]] std::string metrics_text() const;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> impl_;
+};
+
+} // namespace medlaryoke::controllers
--- a/Source/controllers/upstream_link.h
+++ b/Source/controllers/upstream_link.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 #include "base/clock.h"
@@ -29,6 +30,9 @@
 
     /// @return the last known state
     [[nodiscard]] virtual agent_link_view view() const = 0;
+
+    /// @return dispatches that have not ended
+    [[nodiscard]] virtual std::size_t in_flight() const = 0;
 };
 
 } // namespace medlaryoke::controllers
--- a/Tests/fakes/fake_upstream_link.h
+++ b/Tests/fakes/fake_upstream_link.h
@@ -34,7 +34,10 @@
 
     [[nodiscard]] controllers::agent_link_view view() const override { return this->state; }
 
+    [[nodiscard]] std::size_t in_flight() const override { return this->running; }
+
     controllers::agent_link_view state;
+    std::size_t running = 0; ///< returned by in_flight
     std::vector<call> calls;
     std::vector<std::uint64_t> cancelled;
 };
