--- /dev/null
+++ b/Source/policy/dispatch_tracker.cxx
@@ -0,0 +1,228 @@
+#include "policy/dispatch_tracker.h"
+
+#include <algorithm>
+#include <iterator>
+#include <unordered_map>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace medlaryoke::policy {
+
+namespace {
+
+void append_all(std::vector<tracker_action>& to, std::vector<tracker_action> from)
+{
+    std::ranges::move(from, std::back_inserter(to));
+}
+
+} // namespace
+
+void dispatch_tracker::add(std::uint64_t id, std::uint64_t agent_incarnation, time_point deadline)
+{
+    auto& entry = this->open_[id];
+    entry.agent_incarnation = agent_incarnation;
+    entry.deadline = deadline;
+}
+
+std::vector<tracker_action> dispatch_tracker::not_handed_over(std::uint64_t id)
+{
+    const auto it = this->open_.find(id);
+    if (it == this->open_.end()) {
+        return {};
+    }
+    return this->end(it, dispatch_end::refused, "the request was not handed to a connection",
+                     wire::REFUSAL_REASON_UPSTREAM_DOWN);
+}
+
+std::vector<tracker_action> dispatch_tracker::on_frame(const wire::frame& frame)
+{
+    switch (frame.body_case()) {
+    case wire::frame::kChunk:
+        return this->on_chunk(frame.chunk());
+    case wire::frame::kFinished:
+        return this->on_finished(frame.finished());
+    case wire::frame::kRefused:
+        return this->on_refused(frame.refused());
+    case wire::frame::kFailed: {
+        const auto it = this->open_.find(frame.failed().dispatch_id());
+        if (it == this->open_.end()) {
+            return {};
+        }
+        return this->end(it, dispatch_end::unknown, frame.failed().message());
+    }
+    default:
+        return {};
+    }
+}
+
+std::vector<std::uint64_t> dispatch_tracker::open_session(std::uint32_t number)
+{
+    this->session_ = number;
+    std::vector<std::uint64_t> ids;
+    ids.reserve(this->open_.size());
+    for (auto& [id, entry] : this->open_) {
+        entry.in_hello = true;
+        ids.push_back(id);
+    }
+    return ids;
+}
+
+std::vector<tracker_action> dispatch_tracker::on_welcome(const wire::welcome& welcome)
+{
+    if (welcome.session().number() != this->session_) {
+        return {};
+    }
+    std::unordered_map<std::uint64_t, const wire::dispatch_report*> reports;
+    for (const auto& report : welcome.reports()) {
+        reports.emplace(report.dispatch_id(), &report);
+    }
+    std::vector<tracker_action> actions;
+    for (auto it = this->open_.begin(); it != this->open_.end();) {
+        const auto current = it++;
+        if (!std::exchange(current->second.in_hello, false)) {
+            continue;
+        }
+        const auto report = reports.find(current->first);
+        if (current->second.agent_incarnation != welcome.agent_incarnation()) {
+            append_all(actions,
+                       this->end(current, dispatch_end::unknown,
+                                 "the agent restarted after the request was handed to it"));
+        }
+        else if (report == reports.end()) {
+            append_all(actions, this->end(current, dispatch_end::unknown,
+                                          "the agent's welcome does not mention the dispatch"));
+        }
+        else {
+            append_all(actions, this->on_report(current, *report->second));
+        }
+    }
+    return actions;
+}
+
+std::vector<tracker_action> dispatch_tracker::abandon(const std::string& message)
+{
+    std::vector<tracker_action> actions;
+    while (!this->open_.empty()) {
+        append_all(actions, this->end(this->open_.begin(), dispatch_end::unknown, message));
+    }
+    return actions;
+}
+
+std::vector<tracker_action> dispatch_tracker::expire(time_point now)
+{
+    std::vector<tracker_action> actions;
+    for (auto it = this->open_.begin(); it != this->open_.end();) {
+        const auto current = it++;
+        if (current->second.deadline <= now) {
+            append_all(actions, this->end(current, dispatch_end::unknown,
+                                          "the deadline passed before the whole answer arrived"));
+        }
+    }
+    return actions;
+}
+
+bool dispatch_tracker::cancel(std::uint64_t id)
+{
+    return this->open_.erase(id) > 0;
+}
+
+std::vector<tracker_action> dispatch_tracker::end(open_map::iterator it, dispatch_end how,
+                                                  std::string message, wire::refusal_reason reason)
+{
+    const auto id = it->first;
+    this->open_.erase(it);
+    return {dispatch_ended{.id = id, .end = how, .reason = reason, .message = std::move(message)}};
+}
+
+std::vector<tracker_action> dispatch_tracker::ask_resume(open_map::iterator it)
+{
+    if (std::exchange(it->second.resuming, true)) {
+        return {};
+    }
+    return {request_resume{.id = it->first, .next_chunk = it->second.next_chunk}};
+}
+
+std::vector<tracker_action> dispatch_tracker::on_chunk(const wire::chunk& chunk)
+{
+    const auto it = this->open_.find(chunk.dispatch_id());
+    if (it == this->open_.end() || chunk.sequence() < it->second.next_chunk) {
+        return {};
+    }
+    if (chunk.sequence() > it->second.next_chunk) {
+        return this->ask_resume(it);
+    }
+    it->second.resuming = false;
+    ++it->second.next_chunk;
+    it->second.digest.update(chunk.data());
+    std::vector<tracker_action> actions;
+    if (chunk.sequence() == 0) {
+        actions.emplace_back(
+            deliver_head{.id = it->first,
+                         .status = chunk.status(),
+                         .headers = {chunk.headers().begin(), chunk.headers().end()}});
+    }
+    if (!chunk.data().empty()) {
+        actions.emplace_back(deliver_data{.id = it->first, .data = chunk.data()});
+    }
+    return actions;
+}
+
+std::vector<tracker_action> dispatch_tracker::on_finished(const wire::finished& finished)
+{
+    const auto it = this->open_.find(finished.dispatch_id());
+    if (it == this->open_.end()) {
+        return {};
+    }
+    const auto next = it->second.next_chunk;
+    if (finished.chunk_count() > next) {
+        return this->ask_resume(it);
+    }
+    if (finished.chunk_count() < next || next == 0) {
+        return this->end(it, dispatch_end::unknown,
+                         fmt::format("the agent ended the answer after {} chunks, but {} arrived",
+                                     finished.chunk_count(), next));
+    }
+    if (finished.digest() != it->second.digest.value()) {
+        return this->end(it, dispatch_end::unknown,
+                         "the digest of the answer does not match its chunks");
+    }
+    return this->end(it, dispatch_end::finished, "");
+}
+
+std::vector<tracker_action> dispatch_tracker::on_refused(const wire::refused& refused)
+{
+    const auto it = this->open_.find(refused.dispatch_id());
+    if (it == this->open_.end()) {
+        return {};
+    }
+    if (it->second.next_chunk > 0) {
+        return this->end(it, dispatch_end::unknown,
+                         "the agent refused the request after it had begun to answer");
+    }
+    return this->end(it, dispatch_end::refused, refused.message(), refused.reason());
+}
+
+std::vector<tracker_action> dispatch_tracker::on_report(open_map::iterator it,
+                                                        const wire::dispatch_report& report)
+{
+    switch (report.state()) {
+    case wire::DISPATCH_STATE_NEVER_RECEIVED:
+        if (it->second.next_chunk > 0) {
+            return this->end(it, dispatch_end::unknown,
+                             "the agent denies a request that it had begun to answer");
+        }
+        return this->end(it, dispatch_end::refused, "the agent never received the request",
+                         wire::REFUSAL_REASON_OLD_SESSION);
+    case wire::DISPATCH_STATE_QUEUED:
+    case wire::DISPATCH_STATE_RUNNING:
+    case wire::DISPATCH_STATE_ENDED:
+        it->second.resuming = false;
+        return this->ask_resume(it);
+    default:
+        return this->end(it, dispatch_end::unknown,
+                         "the agent reported an unknown state of the dispatch");
+    }
+}
+
+} // namespace medlaryoke::policy
