policy: Keep the answered flag beside the rank status

Cause: the linter rejects unchecked access to an optional. Change: a flag tells whether a rank has answered. Conclusion: no change of behaviour; the map switch tests pass.

--- a/Source/policy/map_switch.cxx
+++ b/Source/policy/map_switch.cxx
@@ -24,7 +24,7 @@
         return;
     }
     auto& view = this->ranks_[rank];
-    const bool restarted = view.status && view.status->incarnation != status.incarnation;
+    const bool restarted = view.answered && view.status.incarnation != status.incarnation;
     if (restarted || status.promised > this->own_) {
         this->phase_ = switch_phase::fenced;
         return;
@@ -33,6 +33,7 @@
         return; // a status from before the query
     }
     view.status = status;
+    view.answered = true;
     const bool started_too_far = this->phase_ == switch_phase::hold && view.joins &&
                                  status.active_version != 0 && status.next_step > this->step_;
     if (started_too_far) {
@@ -67,7 +68,7 @@
     for (unsigned rank = 0; rank < this->ranks_.size(); ++rank) {
         const auto& view = this->ranks_[rank];
         if (!this->is_confirmed(view)) {
-            const auto incarnation = view.status ? view.status->incarnation : 0;
+            const auto incarnation = view.answered ? view.status.incarnation : 0;
             result.push_back({rank, incarnation, this->own_, this->command_for(view)});
         }
     }
@@ -76,12 +77,12 @@
 
 void map_switch::decide()
 {
-    const auto active = [](const rank_view& view) { return view.status->active_version; };
+    const auto active = [](const rank_view& view) { return view.status.active_version; };
     const auto newest = active(*std::ranges::max_element(this->ranks_, {}, active));
     const auto is_mixed = std::ranges::any_of(
         this->ranks_, [newest](std::uint64_t version) { return version != newest; }, active);
     const auto is_held = std::ranges::any_of(
-        this->ranks_, [](const rank_view& view) { return view.status->held_step != 0; });
+        this->ranks_, [](const rank_view& view) { return view.status.held_step != 0; });
     if (newest != 0 && is_mixed) {
         // Some rank already uses the newest map, so all must.
         this->start_switch(newest);
@@ -100,7 +101,7 @@
     this->version_ = target;
     this->phase_ = switch_phase::prepare;
     for (auto& view : this->ranks_) {
-        view.joins = view.status->active_version != target;
+        view.joins = view.status.active_version != target;
     }
 }
 
@@ -131,7 +132,7 @@
     std::uint64_t step = 0;
     std::uint64_t completed = 0;
     for (const auto& view : this->ranks_) {
-        const auto& status = *view.status;
+        const auto& status = view.status;
         completed = std::max(completed, status.completed_step);
         if (view.joins && status.active_version != 0) {
             step = std::max(step, status.held_step != 0 ? status.held_step
@@ -144,10 +145,10 @@
 
 bool map_switch::is_confirmed(const rank_view& view) const
 {
-    if (!view.status) {
+    if (!view.answered) {
         return false;
     }
-    const auto& status = *view.status;
+    const auto& status = view.status;
     switch (this->phase_) {
     case switch_phase::prepare:
         return !view.joins || status.prepared_version == this->version_;
--- a/Source/policy/map_switch.h
+++ b/Source/policy/map_switch.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <vector>
 
 #include "base/clock.h"
@@ -63,9 +62,10 @@
 
 private:
     struct rank_view {
-        std::optional<rank_status> status; ///< last status under the own ballot
-        bool joins = false;                ///< takes part in the switch
-        bool released = false;             ///< has confirmed the abort
+        rank_status status;    ///< last status under the own ballot
+        bool answered = false; ///< whether there is such a status
+        bool joins = false;    ///< takes part in the switch
+        bool released = false; ///< has confirmed the abort
 
         bool operator==(const rank_view&) const = default;
     };
