--- a/Source/controllers/request_dispatcher.cxx
+++ b/Source/controllers/request_dispatcher.cxx
@@ -58,7 +58,7 @@
     {
     }
 
-    void submit(work_request work, std::shared_ptr<transport::response_stream> response)
+    void submit(work_request work, const std::shared_ptr<transport::response_stream>& response)
     {
         auto& queue = this->queue_of(work.target);
         const auto request =
@@ -117,6 +117,7 @@
     {
         const std::shared_lock lock(this->mutex_);
         std::vector<queue_status> result;
+        result.reserve(this->queues_.size());
         for (const auto& [target, queue] : this->queues_) {
             result.push_back(queue->status(target));
         }
@@ -148,6 +149,7 @@
     {
         const std::shared_lock lock(this->mutex_);
         std::vector<target_queue*> result;
+        result.reserve(this->queues_.size());
         for (const auto& [target, queue] : this->queues_) {
             result.push_back(queue.get());
         }
@@ -318,9 +320,9 @@
 request_dispatcher::~request_dispatcher() = default;
 
 void request_dispatcher::submit(work_request request,
-                                std::shared_ptr<transport::response_stream> response)
+                                const std::shared_ptr<transport::response_stream>& response)
 {
-    this->impl_->submit(std::move(request), std::move(response));
+    this->impl_->submit(std::move(request), response);
 }
 
 void request_dispatcher::set_upstreams(const std::string& target,
--- a/Source/controllers/request_dispatcher.h
+++ b/Source/controllers/request_dispatcher.h
@@ -40,7 +40,7 @@
     /// Queues a request.
     /// @param request what to run
     /// @param response where the answer goes
-    void submit(work_request request, std::shared_ptr<transport::response_stream> response);
+    void submit(work_request request, const std::shared_ptr<transport::response_stream>& response);
 
     /// Replaces the upstreams of a model group or service. Running requests stay where they are.
     /// @param target the model group or service
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -37,14 +37,15 @@
 }
 
 /// Rendezvous hashing, so that repeats of a key reach the agent that remembers it.
-std::optional<std::size_t> choose_by_key(const std::vector<policy::upstream_candidate>& candidates,
-                                         const std::string& key)
+/// @param candidates at least one has room
+std::size_t choose_by_key(const std::vector<policy::upstream_candidate>& candidates,
+                          const std::string& key)
 {
-    std::optional<std::size_t> best;
+    std::size_t best = 0;
     std::uint64_t best_weight = 0;
     for (std::size_t n = 0; n < candidates.size(); ++n) {
         const auto weight = hash64(key, candidates[n].id);
-        if (has_room(candidates[n]) && (!best || weight > best_weight)) {
+        if (has_room(candidates[n]) && weight >= best_weight) {
             best = n;
             best_weight = weight;
         }
@@ -149,15 +150,15 @@
         if (request == nullptr) {
             continue;
         }
-        const auto upstream = this->choose(*request, upstreams, std::move(candidates), now);
-        return assignment{std::move(request), *upstream};
+        const auto upstream = this->choose(*request, upstreams, candidates, now);
+        return assignment{std::move(request), upstream};
     }
     return std::nullopt;
 }
 
-std::optional<std::size_t> target_queue::choose(const pending_request& request,
-                                                const std::vector<dispatch_target>& upstreams,
-                                                candidate_list candidates, time_point now)
+std::size_t target_queue::choose(const pending_request& request,
+                                 const std::vector<dispatch_target>& upstreams,
+                                 candidate_list candidates, time_point now)
 {
     const auto& work = request.request();
     const auto was_tried = [&request](const dispatch_target& upstream) {
@@ -176,9 +177,9 @@
     policy::request_features features;
     features.prefix_hashes = work.prefix_hashes;
     features.cost = work.cost;
-    const auto chosen = this->selector_.choose(candidates, features, now);
     // The selector may keep some room free; what was taken from the queue still has to go.
-    return chosen ? chosen : choose_by_key(candidates, work.idempotency_key);
+    return this->selector_.choose(candidates, features, now)
+        .value_or(choose_by_key(candidates, work.idempotency_key));
 }
 
 std::vector<target_queue::request_pointer> target_queue::expire(time_point now)
--- a/Source/controllers/target_queue.h
+++ b/Source/controllers/target_queue.h
@@ -88,9 +88,9 @@
 
     std::optional<assignment> take_next(const std::vector<dispatch_target>& upstreams,
                                         candidate_list candidates, time_point now);
-    std::optional<std::size_t> choose(const pending_request& request,
-                                      const std::vector<dispatch_target>& upstreams,
-                                      candidate_list candidates, time_point now);
+    std::size_t choose(const pending_request& request,
+                       const std::vector<dispatch_target>& upstreams, candidate_list candidates,
+                       time_point now);
     request_pointer find(std::uint64_t id) const;
 
     mutable std::mutex mutex_;
--- a/Tests/controllers/test_request_dispatcher.cxx
+++ b/Tests/controllers/test_request_dispatcher.cxx
@@ -133,6 +133,7 @@
 {
     fixture f;
     std::vector<std::shared_ptr<fake_response_stream>> responses;
+    responses.reserve(8);
     for (int n = 0; n < 8; ++n) {
         responses.push_back(f.submit());
     }
@@ -275,6 +276,7 @@
     fixture f;
     f.second->state.connected = false;
     std::vector<std::thread> threads;
+    threads.reserve(4);
     for (int n = 0; n < 4; ++n) {
         threads.emplace_back([&f] {
             for (int i = 0; i < 100; ++i) {
