--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -1,11 +1,18 @@
 #include "commands/command_line.h"
 
+#include <iostream>
+
 #include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include "base/error.h"
+#include "commands/status_command.h"
 
 namespace medlaryoke::commands {
 
 namespace {
 
+constexpr int failure_exit_code = 1;
 constexpr int usage_exit_code = 2;
 
 } // namespace
@@ -14,12 +21,22 @@
 {
     CLI::App app{"Load balancer for expert-parallel model groups", "medlaryoke"};
     app.set_version_flag("--version", "0.1.0");
+    app.require_subcommand(0, 1);
+    status_command::add_to(app);
     try {
         app.parse(argc, argv);
     }
     catch (const CLI::ParseError& e) {
         return app.exit(e) == 0 ? 0 : usage_exit_code;
     }
+    catch (const error& e) {
+        std::cerr << fmt::format("medlaryoke: {}. {}\n", e.what(), e.remedy());
+        return failure_exit_code;
+    }
+    catch (const std::exception& e) {
+        std::cerr << fmt::format("medlaryoke: {}\n", e.what());
+        return failure_exit_code;
+    }
     return 0;
 }
 
--- /dev/null
+++ b/Source/commands/entry_process.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/logging.h"
+#include "controllers/config_store.h"
+#include "controllers/operator_status.h"
+#include "controllers/peer_directory.h"
+#include "controllers/peer_network.h"
+#include "controllers/request_dispatcher.h"
+#include "controllers/request_statistics.h"
+#include "controllers/upstream_links.h"
+#include "filters/caller_api.h"
+#include "model/process_settings.h"
+#include "transport/http_server.h"
+#include "transport/instance_list_client.h"
+#include "transport/log_client.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::commands {
+
+/// Connects the parts of an entry and runs them until it is told to stop.
+class entry_process {
+public:
+    /// Binds the addresses.
+    /// @param settings the settings of the entry
+    /// @throws error of kind unavailable if an address cannot be bound
+    explicit entry_process(const model::entry_settings& settings);
+    entry_process(const entry_process&) = delete;
+    entry_process& operator=(const entry_process&) = delete;
+    entry_process(entry_process&&) = delete;
+    entry_process& operator=(entry_process&&) = delete;
+    ~entry_process() = default;
+
+    /// Serves until SIGTERM or SIGINT and until the running requests have ended.
+    void run();
+
+private:
+    std::shared_ptr<controllers::upstream_link> open_link(const std::string& upstream,
+                                                          const model::upstream_spec& spec);
+    controllers::peer_network_events make_peer_events();
+    filters::caller_api_options make_caller_options();
+    filters::filter_chain make_filters();
+    void start_servers();
+    void handle_operator(const transport::http_request& request,
+                         const std::shared_ptr<transport::response_stream>& response);
+    void on_config(const std::shared_ptr<const controllers::config_view>& config);
+    void on_instance_list(const std::vector<transport::listed_instance>& list);
+    [[nodiscard]] wire::peer_state own_state() const;
+    [[nodiscard]] std::vector<controllers::entry_address> entries() const;
+    [[nodiscard]] controllers::entry_status status() const;
+    void tick_regularly();
+    void begin_drain();
+    void stop_when_idle(time_point limit);
+
+    model::entry_settings settings_;
+    logger log_{"entry"};
+    system_clock_source clock_;
+    std::uint64_t incarnation_;
+    std::atomic<bool> draining_ = false;
+    std::atomic<std::int64_t> config_since_unix_ms_ = 0;
+    transport::runtime runtime_;
+    transport::log_client log_service_;
+    controllers::config_store config_;
+    controllers::request_statistics statistics_;
+    controllers::request_dispatcher dispatcher_;
+    controllers::peer_directory directory_;
+    controllers::upstream_links links_;
+    controllers::operator_status operator_status_;
+    std::unique_ptr<controllers::peer_network> peers_;
+    std::unique_ptr<filters::caller_api> caller_api_;
+    std::unique_ptr<transport::http_server> caller_server_;
+    std::unique_ptr<transport::http_server> operator_server_;
+    std::unique_ptr<transport::instance_list_client> instance_list_;
+};
+
+} // namespace medlaryoke::commands
--- /dev/null
+++ b/Source/commands/status_command.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace CLI {
+class App;
+}
+
+namespace medlaryoke::commands {
+
+struct status_options {
+    std::vector<std::string> entries; ///< IP addresses and ports of operator listeners
+    bool json = false;                ///< write the replies as one JSON array
+    duration timeout = std::chrono::seconds(2);
+};
+
+/// The subcommand `status`: shows the state of entries.
+class status_command {
+public:
+    /// Adds the subcommand.
+    /// @param app the command line
+    static void add_to(CLI::App& app);
+
+    /// Asks all entries at once and writes their state to standard output.
+    /// @param options what to ask and how to write it
+    /// @return the exit code: 1 if an entry did not answer
+    static int run(const status_options& options);
+};
+
+} // namespace medlaryoke::commands
--- a/Source/controllers/pending_request.cxx
+++ b/Source/controllers/pending_request.cxx
@@ -75,9 +75,8 @@
     record.result = outcome::answered;
     const bool first_in_time = record.first_data <= this->request_.first_token_target;
     const auto first = this->first_data_.value_or(this->last_data_);
-    const auto interval = this->data_parts_ > 1
-                              ? (this->last_data_ - first) / (this->data_parts_ - 1)
-                              : duration{};
+    const auto interval =
+        this->data_parts_ > 1 ? (this->last_data_ - first) / (this->data_parts_ - 1) : duration{};
     const auto limit = this->request_.token_interval_target;
     record.within_target = first_in_time && (limit == duration{} || interval <= limit);
     return record;
--- a/Source/transport/runtime.cxx
+++ b/Source/transport/runtime.cxx
@@ -101,8 +101,13 @@
 
 void runtime::wait()
 {
-    std::unique_lock lock(this->impl_->mutex);
-    this->impl_->stopped_changed.wait(lock, [this] { return this->impl_->stopped; });
+    {
+        std::unique_lock lock(this->impl_->mutex);
+        this->impl_->stopped_changed.wait(lock, [this] { return this->impl_->stopped; });
+    }
+    for (auto& thread : std::exchange(this->impl_->threads, {})) {
+        thread.join();
+    }
 }
 
 void runtime::stop()
--- a/Source/transport/runtime.h
+++ b/Source/transport/runtime.h
@@ -50,7 +50,8 @@
     /// Starts the worker threads.
     void start();
 
-    /// Blocks until stop() was called.
+    /// Blocks until stop() was called and the worker threads have ended, so that no callback runs
+    /// afterwards. Not to be called on a worker thread.
     void wait();
 
     /// Stops the worker threads without waiting for pending functions. Idempotent.
