--- a/Source/filters/caller_api.cxx
+++ b/Source/filters/caller_api.cxx
@@ -35,6 +35,13 @@
             fmt::format("Use {}.", wanted)};
 }
 
+/// Without configuration every credential would look wrong.
+refuse no_configuration()
+{
+    return {error_kind::unavailable, "this entry has not received its configuration yet",
+            "Send the request again later, or to another entry."};
+}
+
 } // namespace
 
 caller_api::caller_api(const clock_source& clock, caller_api_options options, filter_chain chain,
@@ -107,7 +114,8 @@
     context.now = this->clock_.now();
     context.work.request_id = make_unique_id("req");
     context.work.received = context.now;
-    const auto result = this->chain_.apply(context);
+    const auto result = context.config->offset == 0 ? filter_result(no_configuration())
+                                                    : this->chain_.apply(context);
     if (const auto* const refusal = std::get_if<refuse>(&result)) {
         this->statistics_.on_filter_refusal(refusal->kind);
         response->respond(make_refusal(*refusal, context.work.request_id));
