--- a/Source/commands/entry_command.h
+++ b/Source/commands/entry_command.h
@@ -2,7 +2,7 @@
 
 #include "model/process_settings.h"
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): name of the library
 class App;
 }
 
--- a/Source/commands/status_command.h
+++ b/Source/commands/status_command.h
@@ -5,7 +5,7 @@
 
 #include "base/clock.h"
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): name of the library
 class App;
 }
 
--- a/Source/controllers/peer_directory.cxx
+++ b/Source/controllers/peer_directory.cxx
@@ -63,6 +63,7 @@
 {
     const std::scoped_lock lock(this->mutex_);
     std::vector<peer_view> result;
+    result.reserve(this->peers_.size());
     for (const auto& [name, it] : this->peers_) {
         result.push_back({it.state, now - it.heard, !this->is_live(it, now)});
     }
--- a/Source/controllers/request_statistics.cxx
+++ b/Source/controllers/request_statistics.cxx
@@ -68,9 +68,11 @@
                    const latency_accumulator& values)
 {
     if (acc::count(values) >= min_quantile_samples) {
-        for (std::size_t n = 0; n < quantiles.size(); ++n) {
-            text += fmt::format("{}{{{},quantile=\"{}\"}} {:.6f}\n", name, labels, quantiles.at(n),
-                                acc::extended_p_square(values)[n]);
+        const auto estimates = acc::extended_p_square(values);
+        auto estimate = estimates.begin();
+        for (const auto quantile : quantiles) {
+            text += fmt::format("{}{{{},quantile=\"{}\"}} {:.6f}\n", name, labels, quantile,
+                                *estimate++);
         }
     }
     text += fmt::format("{}_sum{{{}}} {:.6f}\n", name, labels, acc::sum(values));
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -145,7 +145,7 @@
     if (std::ranges::none_of(candidates, has_room)) {
         return std::nullopt;
     }
-    while (const auto item = this->queue_.pop(now)) {
+    for (auto item = this->queue_.pop(now); item.has_value(); item = this->queue_.pop(now)) {
         auto request = this->find(item->id);
         if (request == nullptr) {
             continue;
--- a/Tests/filters/test_caller_api.cxx
+++ b/Tests/filters/test_caller_api.cxx
@@ -42,7 +42,7 @@
     send(const std::string& method, const std::string& target, const std::string& body = {},
          const std::string& credential = fakes::sample_credential)
     {
-        const auto response = std::make_shared<fake_response_stream>();
+        auto response = std::make_shared<fake_response_stream>();
         api->handle({method, target, {{"Authorization", "Bearer " + credential}}, body}, response);
         return response;
     }
@@ -109,9 +109,11 @@
     fixture f;
     const auto entries = json::parse(f.send("GET", "/v1/entries")->body);
     cr_assert(entries["ttl_ms"] == 5000 && entries["entries"][0]["address"] == "127.0.0.1:80");
-    const auto key = json::parse(f.send("POST", "/v1/keys")->body)["key"].get<std::string>();
-    cr_assert(key.starts_with("mk1-") &&
-              key != json::parse(f.send("POST", "/v1/keys")->body)["key"]);
+    const auto make_key = [&f] {
+        return json::parse(f.send("POST", "/v1/keys")->body)["key"].get<std::string>();
+    };
+    const auto key = make_key();
+    cr_assert(key.starts_with("mk1-") && key != make_key());
 }
 
 // Guards against an operator page that breaks, or samples that split the misses wrongly.
