--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -8,7 +8,6 @@
 #include <exception>
 #include <limits>
 #include <mutex>
-#include <optional>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -213,7 +212,7 @@
     bool waiting_ = false;
     bool reading_ = false;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::response_parser<http::buffer_body>> parser_;
+    std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
     std::array<char, body_block_bytes> block_{};
 };
 
@@ -429,7 +428,7 @@
 void client_connection::read_head()
 {
     this->reading_ = true;
-    this->parser_.emplace();
+    this->parser_ = std::make_unique<http::response_parser<http::buffer_body>>();
     this->parser_->header_limit(max_reply_header_bytes);
     // Not boost::none: Boost 1.74 compares it as less than any Content-Length.
     this->parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -571,7 +570,8 @@
 
 class http_client::implementation {
 public:
-    implementation(runtime& context, std::string address, std::size_t max_idle, duration idle_time)
+    implementation(runtime& context, const std::string& address, std::size_t max_idle,
+                   duration idle_time)
         : pool_(std::make_shared<client_pool>(context.impl().context, parse_tcp_address(address),
                                               address, max_idle, idle_time))
     {
@@ -621,10 +621,9 @@
     std::shared_ptr<client_pool> pool_;
 };
 
-http_client::http_client(runtime& context, std::string address, std::size_t max_idle_connections,
-                         duration max_idle_time)
-    : impl_(std::make_shared<implementation>(context, std::move(address), max_idle_connections,
-                                             max_idle_time))
+http_client::http_client(runtime& context, const std::string& address,
+                         std::size_t max_idle_connections, duration max_idle_time)
+    : impl_(std::make_shared<implementation>(context, address, max_idle_connections, max_idle_time))
 {
 }
 
@@ -633,14 +632,14 @@
     this->impl_->close();
 }
 
-std::shared_ptr<http_exchange> http_client::send(http_request request, http_timeouts timeouts,
-                                                 http_events events)
+std::shared_ptr<http_exchange> http_client::send(const http_request& request,
+                                                 http_timeouts timeouts, http_events events)
 {
     return this->impl_->send(request, timeouts, std::move(events));
 }
 
 std::shared_ptr<http_exchange>
-http_client::fetch(http_request request, http_timeouts timeouts,
+http_client::fetch(const http_request& request, http_timeouts timeouts,
                    std::function<void(std::variant<http_response, http_failure>)> done)
 {
     const auto state = std::make_shared<fetch_state>();
@@ -665,7 +664,7 @@
         state->done(std::move(state->response));
     };
     events.on_failure = [state](const http_failure& failure) { state->done(failure); };
-    return this->send(std::move(request), timeouts, std::move(events));
+    return this->send(request, timeouts, std::move(events));
 }
 
 } // namespace medlaryoke::transport
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -56,12 +56,14 @@
     /// @param address IP address and port of the server
     /// @param max_idle_connections connections kept open for reuse
     /// @param max_idle_time a connection idle for longer is closed instead of reused
-    http_client(runtime& context, std::string address, std::size_t max_idle_connections = 64,
+    http_client(runtime& context, const std::string& address, std::size_t max_idle_connections = 64,
                 duration max_idle_time = std::chrono::seconds(15));
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
+
+    /// Closes all connections; exchanges that still run get no further event.
     ~http_client();
 
     /// Sends a request and streams the reply.
@@ -69,7 +71,7 @@
     /// @param timeouts limits for each phase
     /// @param events callbacks; empty ones are skipped
     /// @return the exchange, for cancel
-    std::shared_ptr<http_exchange> send(http_request request, http_timeouts timeouts,
+    std::shared_ptr<http_exchange> send(const http_request& request, http_timeouts timeouts,
                                         http_events events);
 
     /// Sends a request and collects the whole reply.
@@ -77,7 +79,7 @@
     /// @param timeouts limits for each phase
     /// @param done called once with the reply or the failure
     std::shared_ptr<http_exchange>
-    fetch(http_request request, http_timeouts timeouts,
+    fetch(const http_request& request, http_timeouts timeouts,
           std::function<void(std::variant<http_response, http_failure>)> done);
 
     class implementation;
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -147,7 +147,7 @@
     void close();
 
     // Called by the stream of the current request, on the strand.
-    void send_whole(http_response response);
+    void send_whole(const http_response& response);
     void send_start(const http_head& head);
     void send_part(const std::string& data);
     void send_end();
@@ -176,7 +176,7 @@
     asio::steady_timer write_timer_;
     std::shared_ptr<server_state> state_;
     boost::beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::unique_ptr<http::request_parser<http::string_body>> parser_;
     std::weak_ptr<server_stream> stream_;
     reply_framing framing_;
     phase phase_ = phase::idle;
@@ -221,8 +221,8 @@
             return;
         }
         this->end_locked();
-        this->post([response = std::move(response)](server_connection& target) mutable {
-            target.send_whole(std::move(response));
+        this->post([response = std::move(response)](server_connection& target) {
+            target.send_whole(response);
         });
     }
 
@@ -434,7 +434,7 @@
 {
     this->phase_ = phase::receiving;
     this->framing_ = {};
-    this->parser_.emplace();
+    this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
     this->parser_->header_limit(static_cast<std::uint32_t>(this->state_->options.max_header_bytes));
     this->parser_->body_limit(this->state_->options.max_body_bytes);
     this->arm(this->read_timer_, this->state_->options.request_timeout);
@@ -539,7 +539,7 @@
     }
 }
 
-void server_connection::send_whole(http_response response)
+void server_connection::send_whole(const http_response& response)
 {
     if (this->phase_ != phase::handling) {
         return;
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -70,6 +70,8 @@
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
     http_server& operator=(http_server&&) = delete;
+
+    /// Closes all connections. A handler that has already begun may still be running.
     ~http_server();
 
     /// @return the bound IP address and port
--- a/Source/transport/message_channel.cxx
+++ b/Source/transport/message_channel.cxx
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <mutex>
-#include <optional>
 #include <utility>
 
 #include <boost/asio/io_context.hpp>
@@ -82,7 +81,11 @@
     [[nodiscard]] zmq::socket_t& socket() { return this->socket_; }
 
     /// Starts to wait for the descriptor; called once the socket is bound or connected.
-    void open() { this->descriptor_.emplace(this->strand_, this->socket_.get(zmq::sockopt::fd)); }
+    void open()
+    {
+        this->descriptor_ = std::make_unique<asio::posix::stream_descriptor>(
+            this->strand_, this->socket_.get(zmq::sockopt::fd));
+    }
 
     template <typename Function>
     void wait(Function fn)
@@ -99,7 +102,7 @@
 private:
     zmq::socket_t socket_;
     strand_type strand_;
-    std::optional<asio::posix::stream_descriptor> descriptor_;
+    std::unique_ptr<asio::posix::stream_descriptor> descriptor_;
 };
 
 std::string to_string(const zmq::message_t& part)
--- a/Source/transport/message_channel.h
+++ b/Source/transport/message_channel.h
@@ -31,6 +31,8 @@
     message_server& operator=(const message_server&) = delete;
     message_server(message_server&&) = delete;
     message_server& operator=(message_server&&) = delete;
+
+    /// Closes the socket. A callback that has already begun may still be running.
     ~message_server();
 
     /// @return the bound IP address and port
@@ -69,6 +71,8 @@
     message_client& operator=(const message_client&) = delete;
     message_client(message_client&&) = delete;
     message_client& operator=(message_client&&) = delete;
+
+    /// Closes the connection. A callback that has already begun may still be running.
     ~message_client();
 
     /// Queues a frame; thread safe, in order.
--- a/Tests/transport/test_http.cxx
+++ b/Tests/transport/test_http.cxx
@@ -36,17 +36,17 @@
         return options;
     }
 
-    fetch_result fetch(http_request request, http_timeouts timeouts = {})
+    fetch_result fetch(const http_request& request, http_timeouts timeouts = {})
     {
         std::promise<fetch_result> result;
-        client.fetch(std::move(request), timeouts,
+        client.fetch(request, timeouts,
                      [&result](fetch_result value) { result.set_value(std::move(value)); });
         return result.get_future().get();
     }
 
-    http_response reply(http_request request)
+    http_response reply(const http_request& request)
     {
-        auto result = this->fetch(std::move(request));
+        auto result = this->fetch(request);
         const auto* failure = std::get_if<http_failure>(&result);
         cr_assert(failure == nullptr, "%s", failure != nullptr ? failure->message.c_str() : "");
         return std::get<http_response>(std::move(result));
@@ -57,7 +57,7 @@
     http_client client;
 };
 
-void echo(http_request request, const std::shared_ptr<response_stream>& stream)
+void echo(const http_request& request, const std::shared_ptr<response_stream>& stream)
 {
     stream->respond(make_json_response(200, request.method + request.target + request.body));
 }
