standins: Add the load of the callers; transport: Deliver chunks at once

caller_load asks entries for addresses, sends a seeded workload, checks every answer whole and prints a JSON summary.

Its first run showed that http_client delivered a stream only at its end: an eager Beast parser wants the next chunk before it gives out the last one.

--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -460,7 +460,8 @@
     for (const auto& field : message) {
         head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    this->parser_->eager(true);
+    // An eager parser would hold back a chunk until the block is full or the next chunk begins.
+    this->parser_->eager(false);
     this->exchange_->head(head);
     if (this->parser_->is_done()) {
         this->complete();
--- /dev/null
+++ b/Tests/StandIns/caller_load.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "base/clock.h"
+#include "StandIns/workload.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::standins {
+
+struct caller_load_options {
+    std::vector<std::string> addresses;
+    bool direct = false; ///< the addresses are engines or services, not entries
+    std::vector<workload_class> classes;
+    duration run_time = std::chrono::seconds(10);
+    duration warm_up{};                             ///< requests started earlier are not counted
+    duration drain_time = std::chrono::seconds(60); ///< longest wait for answers at the end
+    std::uint64_t seed = 1;
+};
+
+/// Stand-in of the callers: sends the requests of a workload, checks every answer and measures.
+class caller_load {
+public:
+    /// @param context runs the requests
+    /// @param options addresses, workload and times
+    caller_load(transport::runtime& context, caller_load_options options);
+
+    /// Starts the load.
+    /// @param done called once with the summary, when all requests have ended: for each class
+    /// `sent`, `outcomes`, `statuses`, `attained` (answered within the targets), and the 50th,
+    /// 95th and 99th percentiles of `first_token_ms`, `token_interval_ms` and `total_ms`
+    void start(std::function<void(nlohmann::json)> done);
+
+    class implementation;
+
+private:
+    std::shared_ptr<implementation> impl_;
+};
+
+} // namespace medlaryoke::standins
--- /dev/null
+++ b/Tests/StandIns/entry_directory.cxx
@@ -0,0 +1,121 @@
+#include "StandIns/entry_directory.h"
+
+#include <utility>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+namespace medlaryoke::standins {
+
+entry_directory::entry_directory(transport::runtime& context, std::vector<std::string> addresses,
+                                 bool fixed, std::uint64_t seed)
+    : context_(context), fixed_(fixed), random_(seed), first_addresses_(addresses),
+      addresses_(std::move(addresses))
+{
+}
+
+std::shared_ptr<transport::http_client> entry_directory::pick()
+{
+    bool expired = false;
+    std::shared_ptr<transport::http_client> picked;
+    {
+        const std::scoped_lock lock(this->mutex_);
+        expired = !this->fixed_ && this->expires_ <= std::chrono::steady_clock::now();
+        picked = this->client_locked(this->addresses_[this->random_() % this->addresses_.size()]);
+    }
+    if (expired) {
+        this->refresh([] {});
+    }
+    return picked;
+}
+
+void entry_directory::refresh(std::function<void()> done)
+{
+    std::size_t attempts = 0;
+    {
+        const std::scoped_lock lock(this->mutex_);
+        if (!this->fixed_ && !std::exchange(this->asking_, true)) {
+            attempts = this->addresses_.size() + this->first_addresses_.size();
+        }
+    }
+    if (attempts == 0) {
+        done();
+        return;
+    }
+    this->ask(attempts, std::move(done));
+}
+
+std::size_t entry_directory::refreshes() const
+{
+    const std::scoped_lock lock(this->mutex_);
+    return this->refreshes_;
+}
+
+void entry_directory::ask(std::size_t attempts_left, std::function<void()> done)
+{
+    std::shared_ptr<transport::http_client> client;
+    {
+        const std::scoped_lock lock(this->mutex_);
+        if (attempts_left == 0) {
+            this->asking_ = false;
+        }
+        else {
+            // The known addresses come first, then those given at the start.
+            const auto& list = attempts_left > this->first_addresses_.size()
+                                   ? this->addresses_
+                                   : this->first_addresses_;
+            client = this->client_locked(list[attempts_left % list.size()]);
+        }
+    }
+    if (!client) {
+        done();
+        return;
+    }
+    transport::http_timeouts timeouts;
+    timeouts.first_byte = std::chrono::seconds(2);
+    client->fetch({"GET", "/v1/entries", {}, {}}, timeouts,
+                  [self = this->shared_from_this(), client, attempts_left,
+                   done = std::move(done)](const auto& result) {
+                      const auto* response = std::get_if<transport::http_response>(&result);
+                      if (response != nullptr && self->take(response->body)) {
+                          done();
+                          return;
+                      }
+                      self->ask(attempts_left - 1, done);
+                  });
+}
+
+bool entry_directory::take(const std::string& body)
+{
+    const auto parsed = nlohmann::json::parse(body, nullptr, false);
+    if (!parsed.is_object() || !parsed.contains("entries") || !parsed["entries"].is_array()) {
+        return false;
+    }
+    std::vector<std::string> found;
+    for (const auto& item : parsed["entries"]) {
+        found.push_back(item.value("address", ""));
+    }
+    if (found.empty()) {
+        return false;
+    }
+    constexpr int default_life_ms = 5000;
+    const std::scoped_lock lock(this->mutex_);
+    this->addresses_ = std::move(found);
+    this->expires_ = std::chrono::steady_clock::now() +
+                     std::chrono::milliseconds(parsed.value("ttl_ms", default_life_ms));
+    this->asking_ = false;
+    ++this->refreshes_;
+    return true;
+}
+
+std::shared_ptr<transport::http_client> entry_directory::client_locked(const std::string& address)
+{
+    auto& client = this->clients_[address];
+    if (!client) {
+        constexpr std::size_t max_idle = 4096;
+        client = std::make_shared<transport::http_client>(this->context_, address, max_idle);
+    }
+    return client;
+}
+
+} // namespace medlaryoke::standins
--- /dev/null
+++ b/Tests/StandIns/sse_reader.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace medlaryoke::standins {
+
+/// Splits a stream of server-sent events. Not thread safe.
+class sse_reader {
+public:
+    /// Called with the name of an event, empty if it has none, and its data.
+    using event_handler = std::function<void(const std::string& name, const std::string& data)>;
+
+    /// @param on_event called for each whole event
+    explicit sse_reader(event_handler on_event) : on_event_(std::move(on_event)) {}
+
+    /// @param bytes the next bytes of the stream, cut anywhere
+    void add(std::string_view bytes);
+
+private:
+    void take_line(std::string_view line);
+
+    event_handler on_event_;
+    std::string rest_;
+    std::string name_;
+    std::string data_;
+    bool any_ = false;
+};
+
+} // namespace medlaryoke::standins
