filters: Hash prompt prefixes as the engines' cache events do

The hash was seeded with the model and chained over blocks, so that no cache event of an engine could ever name it. It is now XXH3-64 of the prompt up to the end of each fourth cache block.

--- a/Source/filters/syntax_filter.cxx
+++ b/Source/filters/syntax_filter.cxx
@@ -134,7 +134,7 @@
     work.stream = read_stream(body);
     const auto prompt = read_prompt(body);
     work.cost = static_cast<double>(prompt.size()) / bytes_per_token + read_answer_tokens(body);
-    work.prefix_hashes = hash_prefixes(context.model, prompt);
+    work.prefix_hashes = hash_prefixes(prompt);
     work.upstream_request.target = chat_path;
 }
 
--- a/Tests/filters/test_filter_chain.cxx
+++ b/Tests/filters/test_filter_chain.cxx
@@ -6,6 +6,7 @@
 
 #include <criterion/criterion.h>
 
+#include "base/digest.h"
 #include "fakes/sample_config.h"
 
 using namespace medlaryoke;
@@ -153,3 +154,21 @@
     }
     expect(make_chat(std::string(4000, '[')), error_kind::invalid_argument);
 }
+
+// Guards against prefix hashes that differ between requests with a common beginning, or from the
+// hashes of the engines' cache events.
+Test(filter_chain, hashes_prefixes_of_the_prompt)
+{
+    const std::string common(600, 'a');
+    const auto hashes = [&common](const std::string& end) {
+        auto context = make_chat(R"({"model":"boba-8b","messages":[{"role":"user","content":")" +
+                                 common + end + "\"}]}");
+        cr_assert(!run(context));
+        return context.work.prefix_hashes;
+    };
+    const auto first = hashes(std::string(200, 'b'));
+    const auto second = hashes(std::string(200, 'c'));
+    cr_assert(first.size() == 3 && second.size() == 3);
+    cr_assert(first[1] == second[1] && first[2] != second[2]);
+    cr_assert(first[0] == hash64("user\n" + common.substr(0, 251)));
+}
