--- /dev/null
+++ b/Source/policy/expert_placement.cxx
@@ -0,0 +1,311 @@
+#include "policy/expert_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+#include <numeric>
+#include <optional>
+#include <queue>
+#include <ranges>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "base/error.h"
+
+namespace medlaryoke::policy {
+
+namespace {
+
+// The potential approximates the load of the hottest rank, and still falls when one of several
+// equally hot ranks is relieved.
+constexpr double potential_exponent = 24;
+
+double to_potential_exponent(double value)
+{
+    const auto cube = value * value * value;
+    const auto sixth = cube * cube;
+    const auto twelfth = sixth * sixth;
+    return twelfth * twelfth;
+}
+
+void check_shape(const placement_shape& shape)
+{
+    if (shape.ranks == 0 || shape.ranks * shape.slots_per_rank < shape.experts) {
+        throw error(error_kind::invalid_argument,
+                    fmt::format("{} experts do not fit into {} ranks of {} slots", shape.experts,
+                                shape.ranks, shape.slots_per_rank),
+                    "Raise the number of slots per rank or of ranks.");
+    }
+}
+
+std::vector<unsigned> count_replicas(const layer_placement& placement)
+{
+    std::vector<unsigned> replicas(placement.shape.experts);
+    std::ranges::for_each(placement.expert_of_slot, [&](unsigned expert) { ++replicas[expert]; });
+    return replicas;
+}
+
+std::vector<double> rank_loads(const layer_placement& placement, std::span<const double> loads)
+{
+    const auto replicas = count_replicas(placement);
+    std::vector<double> result(placement.shape.ranks);
+    for (std::size_t slot = 0; slot < placement.expert_of_slot.size(); ++slot) {
+        const auto expert = placement.expert_of_slot[slot];
+        result[slot / placement.shape.slots_per_rank] += loads[expert] / replicas[expert];
+    }
+    return result;
+}
+
+/// Decides how often each expert is placed, so that the largest share of a replica is smallest.
+std::vector<unsigned> choose_replicas(const placement_shape& shape, std::span<const double> loads)
+{
+    std::vector<unsigned> replicas(shape.experts, 1);
+    const auto share = [&](unsigned expert) { return loads[expert] / replicas[expert]; };
+    const auto less = [&](unsigned a, unsigned b) { return share(a) < share(b); };
+    const auto spare = shape.ranks * shape.slots_per_rank - shape.experts;
+    for (unsigned n = 0; n < spare; ++n) {
+        auto candidates =
+            std::views::iota(0U, shape.experts) |
+            std::views::filter([&](unsigned it) { return replicas[it] < shape.ranks; });
+        ++replicas[*std::ranges::max_element(candidates, less)];
+    }
+    return replicas;
+}
+
+/// Search state of one layer: the placement with its rank loads kept up to date.
+class layer_search {
+public:
+    layer_search(layer_placement placement, std::span<const double> loads)
+        : placement_(std::move(placement)), loads_(loads), replicas_(count_replicas(placement_)),
+          rank_loads_(rank_loads(placement_, loads)),
+          mean_(std::accumulate(rank_loads_.begin(), rank_loads_.end(), 0.0) /
+                static_cast<double>(rank_loads_.size()))
+    {
+    }
+
+    /// One change: a slot takes another expert; for a swap a second slot takes the first's.
+    struct change {
+        std::size_t slot = 0;
+        unsigned expert = 0;
+        std::optional<std::size_t> swapped_slot;
+    };
+
+    [[nodiscard]] const layer_placement& placement() const { return this->placement_; }
+
+    [[nodiscard]] double skew() const
+    {
+        return this->mean_ > 0 ? std::ranges::max(this->rank_loads_) / this->mean_ : 1;
+    }
+
+    /// Applies the change with the best gain for each loaded expert.
+    /// @return whether a change was worth its cost
+    bool improve_once(const improvement_limits& limits)
+    {
+        const auto before = this->potential();
+        double best_gain = limits.min_gain_per_expert;
+        std::optional<change> best;
+        for (const auto& candidate : this->candidates()) {
+            const auto cost = candidate.swapped_slot ? 2.0 : 1.0;
+            const auto undo = this->apply(candidate);
+            const auto gain = (before - this->potential()) / cost;
+            this->apply(undo);
+            if (gain > best_gain) {
+                best_gain = gain;
+                best = candidate;
+            }
+        }
+        if (best) {
+            this->apply(*best);
+        }
+        return best.has_value();
+    }
+
+private:
+    [[nodiscard]] std::size_t rank_of(std::size_t slot) const
+    {
+        return slot / this->placement_.shape.slots_per_rank;
+    }
+
+    /// Soft maximum of the ranks' loads, in units of the mean load.
+    [[nodiscard]] double potential() const
+    {
+        if (this->mean_ <= 0) {
+            return 1;
+        }
+        const auto sum =
+            std::accumulate(this->rank_loads_.begin(), this->rank_loads_.end(), 0.0,
+                            [this](double total, double load) {
+                                return total + to_potential_exponent(load / this->mean_);
+                            });
+        return std::pow(sum / static_cast<double>(this->rank_loads_.size()),
+                        1 / potential_exponent);
+    }
+
+    [[nodiscard]] bool holds(std::size_t rank, unsigned expert) const
+    {
+        const auto first = rank * this->placement_.shape.slots_per_rank;
+        const auto slots = std::span(this->placement_.expert_of_slot)
+                               .subspan(first, this->placement_.shape.slots_per_rank);
+        return std::ranges::find(slots, expert) != slots.end();
+    }
+
+    [[nodiscard]] std::vector<change> candidates() const
+    {
+        const auto hottest = static_cast<std::size_t>(std::ranges::max_element(this->rank_loads_) -
+                                                      this->rank_loads_.begin());
+        const auto per_rank = this->placement_.shape.slots_per_rank;
+        std::vector<change> result;
+        for (auto own = hottest * per_rank; own < (hottest + 1) * per_rank; ++own) {
+            const auto expert = this->placement_.expert_of_slot[own];
+            for (std::size_t slot = 0; slot < this->placement_.expert_of_slot.size(); ++slot) {
+                this->add_candidates(result, own, expert, slot);
+            }
+        }
+        return result;
+    }
+
+    void add_candidates(std::vector<change>& result, std::size_t own, unsigned expert,
+                        std::size_t slot) const
+    {
+        const auto other = this->placement_.expert_of_slot[slot];
+        const auto rank = this->rank_of(slot);
+        if (other == expert || this->holds(rank, expert)) {
+            return;
+        }
+        if (this->replicas_[other] > 1) {
+            result.push_back({slot, expert, std::nullopt});
+        }
+        const auto hottest = this->rank_of(own);
+        const bool is_cooler = this->rank_loads_[rank] < this->rank_loads_[hottest];
+        if (is_cooler && !this->holds(hottest, other)) {
+            result.push_back({slot, expert, own});
+        }
+    }
+
+    /// Applies a change and returns the change that undoes it.
+    change apply(const change& it)
+    {
+        const auto old_expert = this->placement_.expert_of_slot[it.slot];
+        this->set_slot(it.slot, it.expert);
+        if (it.swapped_slot) {
+            this->set_slot(*it.swapped_slot, old_expert);
+        }
+        return {it.slot, old_expert, it.swapped_slot};
+    }
+
+    void set_slot(std::size_t slot, unsigned expert)
+    {
+        auto& current = this->placement_.expert_of_slot[slot];
+        this->add_load(current, -1);
+        this->add_load(expert, -1);
+        --this->replicas_[current];
+        ++this->replicas_[expert];
+        const auto removed = std::exchange(current, expert);
+        this->add_load(removed, 1);
+        this->add_load(expert, 1);
+    }
+
+    void add_load(unsigned expert, double sign)
+    {
+        if (this->replicas_[expert] == 0) {
+            return;
+        }
+        const auto share = sign * this->loads_[expert] / this->replicas_[expert];
+        for (std::size_t slot = 0; slot < this->placement_.expert_of_slot.size(); ++slot) {
+            if (this->placement_.expert_of_slot[slot] == expert) {
+                this->rank_loads_[this->rank_of(slot)] += share;
+            }
+        }
+    }
+
+    layer_placement placement_;
+    std::span<const double> loads_;
+    std::vector<unsigned> replicas_;
+    std::vector<double> rank_loads_;
+    double mean_;
+};
+
+} // namespace
+
+layer_placement expert_placement::spread(const placement_shape& shape)
+{
+    check_shape(shape);
+    layer_placement result{shape,
+                           std::vector<unsigned>(std::size_t{shape.ranks} * shape.slots_per_rank)};
+    for (std::size_t n = 0; n < result.expert_of_slot.size(); ++n) {
+        // Consecutive experts go to different ranks, so spare copies do not meet their originals.
+        const auto slot = (n % shape.ranks) * shape.slots_per_rank + n / shape.ranks;
+        result.expert_of_slot[slot] = static_cast<unsigned>(n % shape.experts);
+    }
+    return result;
+}
+
+layer_placement expert_placement::repack(const placement_shape& shape,
+                                         std::span<const double> loads)
+{
+    check_shape(shape);
+    const auto replicas = choose_replicas(shape, loads);
+    std::vector<unsigned> order;
+    for (unsigned expert = 0; expert < shape.experts; ++expert) {
+        order.insert(order.end(), replicas[expert], expert);
+    }
+    std::ranges::stable_sort(order, std::greater{},
+                             [&](unsigned it) { return loads[it] / replicas[it]; });
+    layer_placement result{shape, std::vector<unsigned>(order.size())};
+    std::vector<unsigned> used(shape.ranks);
+    std::vector<double> sums(shape.ranks);
+    const auto holds = [&](unsigned rank, unsigned expert) {
+        const auto first = result.expert_of_slot.begin() + rank * shape.slots_per_rank;
+        return std::find(first, first + used[rank], expert) != first + used[rank];
+    };
+    for (const auto expert : order) {
+        // A rank that already holds the expert is only used if no other has room.
+        const auto key = [&](unsigned rank) { return std::pair(holds(rank, expert), sums[rank]); };
+        auto open = std::views::iota(0U, shape.ranks) | std::views::filter([&](unsigned it) {
+                        return used[it] < shape.slots_per_rank;
+                    });
+        const auto rank = *std::ranges::min_element(open, {}, key);
+        result.expert_of_slot[rank * shape.slots_per_rank + used[rank]] = expert;
+        ++used[rank];
+        sums[rank] += loads[expert] / replicas[expert];
+    }
+    return result;
+}
+
+placement_plan expert_placement::improve(const layer_placement& current,
+                                         std::span<const double> loads,
+                                         const improvement_limits& limits)
+{
+    layer_search search(current, loads);
+    const auto skew_before = search.skew();
+    while (search.skew() > limits.target_skew && search.improve_once(limits)) {
+    }
+    return {.placement = search.placement(),
+            .loaded_experts = loaded_experts(current, search.placement()),
+            .skew_before = skew_before,
+            .skew_after = search.skew()};
+}
+
+double expert_placement::skew(const layer_placement& placement, std::span<const double> loads)
+{
+    const auto sums = rank_loads(placement, loads);
+    const auto total = std::accumulate(sums.begin(), sums.end(), 0.0);
+    return total > 0 ? std::ranges::max(sums) * static_cast<double>(sums.size()) / total : 1;
+}
+
+unsigned expert_placement::loaded_experts(const layer_placement& from, const layer_placement& to)
+{
+    const auto per_rank = from.shape.slots_per_rank;
+    unsigned result = 0;
+    for (unsigned rank = 0; rank < from.shape.ranks; ++rank) {
+        const auto held = std::span(from.expert_of_slot).subspan(rank * per_rank, per_rank);
+        const auto wanted = std::span(to.expert_of_slot).subspan(rank * per_rank, per_rank);
+        result += static_cast<unsigned>(std::ranges::count_if(wanted, [&](unsigned expert) {
+            return std::ranges::find(held, expert) == held.end();
+        }));
+    }
+    return result;
+}
+
+} // namespace medlaryoke::policy
