agent: Add the agent's side of the protocol and the claims in the log

Cause: nothing yet stood between the entries and an upstream.

A call that cannot be undone runs to its end when its caller goes away, so that a repeat of its key gets the answer. A refusal after a claim follows the release of the claim, so that a retry elsewhere finds the key free.

The tests connect both sides with a log that has outages and lost answers, silent connections and restarts.

--- /dev/null
+++ b/Source/controllers/agent_admission.cxx
@@ -0,0 +1,196 @@
+#include "controllers/agent_admission.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+// Builds without the policies' implementation use a first-in, first-out queue and a fixed limit.
+#if __has_include("policy/concurrency_limit.h")
+#include "policy/concurrency_limit.h"
+#else
+#include <list>
+#endif
+
+namespace medlaryoke::controllers {
+
+namespace {
+
+#if __has_include("policy/concurrency_limit.h")
+
+using policy::call_outcome;
+using policy::concurrency_limit;
+using policy::concurrency_limit_options;
+using policy::work_queue;
+
+#else
+
+enum class call_outcome { succeeded, failed, abandoned };
+
+struct concurrency_limit_options {
+    unsigned initial = 16;
+    unsigned maximum = 256;
+};
+
+class concurrency_limit {
+public:
+    explicit concurrency_limit(concurrency_limit_options options) : options_(options) {}
+
+    bool try_acquire()
+    {
+        if (this->in_flight_ >= this->options_.initial) {
+            return false;
+        }
+        ++this->in_flight_;
+        return true;
+    }
+
+    void release(duration, call_outcome) { --this->in_flight_; }
+    [[nodiscard]] unsigned limit() const { return this->options_.initial; }
+    [[nodiscard]] unsigned in_flight() const { return this->in_flight_; }
+
+private:
+    concurrency_limit_options options_;
+    unsigned in_flight_ = 0;
+};
+
+class work_queue {
+public:
+    explicit work_queue(const policy::work_queue_options& options) : max_items_(options.max_items)
+    {
+    }
+
+    std::vector<policy::work_item> push(policy::work_item item, time_point)
+    {
+        if (this->items_.size() >= this->max_items_) {
+            return {std::move(item)};
+        }
+        this->items_.push_back(std::move(item));
+        return {};
+    }
+
+    std::optional<policy::work_item> pop(time_point)
+    {
+        if (this->items_.empty()) {
+            return std::nullopt;
+        }
+        auto item = std::move(this->items_.front());
+        this->items_.pop_front();
+        return item;
+    }
+
+    std::vector<policy::work_item> expire(time_point now)
+    {
+        std::vector<policy::work_item> removed;
+        std::erase_if(this->items_, [&](const auto& item) {
+            if (item.deadline > now) {
+                return false;
+            }
+            removed.push_back(item);
+            return true;
+        });
+        return removed;
+    }
+
+    bool remove(std::uint64_t id)
+    {
+        return std::erase_if(this->items_, [&](const auto& item) { return item.id == id; }) > 0;
+    }
+
+    void set_priorities(const std::vector<policy::priority_rule>&) {}
+    [[nodiscard]] std::size_t size() const { return this->items_.size(); }
+
+private:
+    std::size_t max_items_;
+    std::list<policy::work_item> items_;
+};
+
+#endif
+
+std::vector<std::uint64_t> ids_of(const std::vector<policy::work_item>& items)
+{
+    std::vector<std::uint64_t> ids;
+    std::ranges::transform(items, std::back_inserter(ids), &policy::work_item::id);
+    return ids;
+}
+
+} // namespace
+
+class agent_admission::implementation {
+public:
+    explicit implementation(const agent_admission_options& options)
+        : limit(concurrency_limit_options{.initial =
+                                              std::min(options.initial_limit, options.max_limit),
+                                          .maximum = options.max_limit}),
+          queue(policy::work_queue_options{.priorities = {}, .max_items = options.max_queue})
+    {
+    }
+
+    concurrency_limit limit;
+    work_queue queue;
+};
+
+agent_admission::agent_admission(const agent_admission_options& options)
+    : impl_(std::make_unique<implementation>(options))
+{
+}
+
+agent_admission::~agent_admission() = default;
+
+admission_result agent_admission::offer(policy::work_item item, time_point now)
+{
+    if (this->impl_->queue.size() == 0 && this->impl_->limit.try_acquire()) {
+        return {.start_now = true, .refused = {}};
+    }
+    return {.start_now = false, .refused = ids_of(this->impl_->queue.push(std::move(item), now))};
+}
+
+std::optional<std::uint64_t> agent_admission::next(time_point now)
+{
+    if (this->impl_->queue.size() == 0 || !this->impl_->limit.try_acquire()) {
+        return std::nullopt;
+    }
+    if (const auto item = this->impl_->queue.pop(now)) {
+        return item->id;
+    }
+    this->impl_->limit.release({}, call_outcome::abandoned);
+    return std::nullopt;
+}
+
+void agent_admission::release(std::optional<duration> latency, bool failed)
+{
+    const auto answered = latency ? call_outcome::succeeded : call_outcome::abandoned;
+    this->impl_->limit.release(latency.value_or(duration{}),
+                               failed ? call_outcome::failed : answered);
+}
+
+bool agent_admission::remove(std::uint64_t id)
+{
+    return this->impl_->queue.remove(id);
+}
+
+std::vector<std::uint64_t> agent_admission::expire(time_point now)
+{
+    return ids_of(this->impl_->queue.expire(now));
+}
+
+void agent_admission::set_priorities(const std::vector<policy::priority_rule>& priorities)
+{
+    this->impl_->queue.set_priorities(priorities);
+}
+
+unsigned agent_admission::running() const
+{
+    return this->impl_->limit.in_flight();
+}
+
+std::size_t agent_admission::queued() const
+{
+    return this->impl_->queue.size();
+}
+
+unsigned agent_admission::limit() const
+{
+    return this->impl_->limit.limit();
+}
+
+} // namespace medlaryoke::controllers
--- a/Source/controllers/agent_link.cxx
+++ b/Source/controllers/agent_link.cxx
@@ -33,9 +33,9 @@
                                               .silence_limit = silence_limit},
             transport::message_client_events{
                 .on_frame =
-                    [self](wire::frame frame) {
+                    [self](const wire::frame& frame) {
                         if (const auto link = self.lock()) {
-                            link->session_->on_frame(std::move(frame));
+                            link->session_->on_frame(frame);
                         }
                     },
                 .on_silent =
--- a/Source/controllers/agent_session.cxx
+++ b/Source/controllers/agent_session.cxx
@@ -69,7 +69,7 @@
     this->open_session(offset);
 }
 
-void agent_session::on_frame(wire::frame frame)
+void agent_session::on_frame(const wire::frame& frame)
 {
     const auto offset = call_offset(this->events_.config_offset);
     {
--- a/Source/controllers/agent_session.h
+++ b/Source/controllers/agent_session.h
@@ -53,7 +53,7 @@
     void start();
 
     /// @param frame a frame from the agent
-    void on_frame(wire::frame frame);
+    void on_frame(const wire::frame& frame);
 
     /// Nothing was received for silence_limit: opens a new session over a new connection.
     void on_silent();
--- /dev/null
+++ b/Source/controllers/claim_controller.cxx
@@ -0,0 +1,491 @@
+#include "controllers/claim_controller.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include <fmt/format.h>
+
+#include "base/identifiers.h"
+#include "base/logging.h"
+
+namespace medlaryoke::controllers {
+
+namespace {
+
+constexpr std::size_t records_per_read = 500;
+
+const logger& log_of_claim()
+{
+    static const logger instance("claim");
+    return instance;
+}
+
+/// Joins texts so that no two lists of texts give the same result.
+std::string join_texts(std::initializer_list<const std::string*> texts)
+{
+    std::string joined;
+    for (const auto* it : texts) {
+        joined += fmt::format("{}:", it->size());
+        joined += *it;
+    }
+    return joined;
+}
+
+digest128 key_of(const wire::dispatch& request)
+{
+    return hash128(
+        join_texts({&request.organisation(), &request.service(), &request.idempotency_key()}));
+}
+
+std::uint64_t digest_of(const wire::dispatch& request)
+{
+    return hash64(join_texts({&request.method(), &request.target(), &request.body()}));
+}
+
+claim_answer refusal(claim_verdict verdict, std::string message)
+{
+    claim_answer answer;
+    answer.verdict = verdict;
+    answer.message = std::move(message);
+    return answer;
+}
+
+claim_answer conflict_answer()
+{
+    return refusal(claim_verdict::conflict, "the idempotency key was used for a different request");
+}
+
+claim_answer in_progress_answer()
+{
+    return refusal(claim_verdict::in_progress,
+                   "an earlier request with the same idempotency key has not completed");
+}
+
+claim_answer repeated_answer(const wire::completion& completion)
+{
+    claim_answer answer;
+    answer.verdict = claim_verdict::repeated;
+    answer.completion = completion;
+    return answer;
+}
+
+} // namespace
+
+claim_controller::claim_controller(const clock_source& clock, transport::log_service& log,
+                                   claim_controller_options options, claim_controller_ports ports)
+    : clock_(clock), log_(log), options_(options), ports_(std::move(ports))
+{
+    for (unsigned n = 0; n < std::max(options.partitions, 1U); ++n) {
+        this->partitions_.emplace_back(options.retention).stream = fmt::format("claims.{}", n);
+    }
+    this->last_append_ = clock.now() - options.batch_interval;
+}
+
+void claim_controller::start()
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        for (std::size_t n = 0; n < this->partitions_.size(); ++n) {
+            this->partitions_[n].catching_up = true;
+            this->read(n);
+        }
+    }
+    this->actions_.run();
+}
+
+void claim_controller::claim(const wire::dispatch& request, claim_done done)
+{
+    const auto now = this->ports_.unix_now();
+    const auto& text = request.idempotency_key();
+    if (text.empty() ||
+        policy::check_key(text, now, this->options_.retention) != policy::key_verdict::accepted) {
+        done(refusal(claim_verdict::expired,
+                     fmt::format("the idempotency key '{}' is empty, malformed or older than {} h",
+                                 text, this->options_.retention / std::chrono::hours(1))));
+        return;
+    }
+    claim_ticket ticket{.key = key_of(request),
+                        .operation_id = make_incarnation(),
+                        .request_digest = digest_of(request)};
+    {
+        const std::scoped_lock lock(this->mutex_);
+        if (auto value = this->answer_without_claim(ticket.key, ticket.request_digest)) {
+            this->answer(std::move(done), std::move(*value));
+        }
+        else {
+            this->held_[ticket.key] = {.ticket = ticket, .completion = std::nullopt};
+            pending_entry entry{
+                .entry = {}, .ticket = ticket, .claimed = std::move(done), .attempted = {}};
+            auto* claim = entry.entry.mutable_claim();
+            claim->set_key_digest(policy::key_digest_bytes(ticket.key));
+            claim->set_request_digest(ticket.request_digest);
+            claim->set_agent_incarnation(this->options_.agent_incarnation);
+            claim->set_operation_id(ticket.operation_id);
+            // Never before the key's own time, so that the key expires before its claim does.
+            const auto created = std::max(now, policy::creation_time_of_key(text).value_or(now));
+            claim->set_created_unix_ms(
+                static_cast<std::uint64_t>(created.time_since_epoch().count()));
+            this->enqueue(std::move(entry));
+        }
+    }
+    this->actions_.run();
+}
+
+void claim_controller::complete(const claim_ticket& ticket, completed_answer answer)
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        pending_entry entry{.entry = {}, .ticket = ticket, .claimed = {}, .attempted = {}};
+        auto* completion = entry.entry.mutable_completion();
+        completion->set_key_digest(policy::key_digest_bytes(ticket.key));
+        completion->set_operation_id(ticket.operation_id);
+        completion->set_status(answer.status);
+        // An omitted body is told from an empty one by the content type.
+        if (!answer.body || !answer.body->empty()) {
+            completion->set_content_type(std::move(answer.content_type));
+            completion->set_response(std::move(answer.body).value_or(""));
+        }
+        this->held_[ticket.key] = {.ticket = ticket, .completion = *completion};
+        this->enqueue(std::move(entry));
+    }
+    this->actions_.run();
+}
+
+void claim_controller::release(const claim_ticket& ticket, std::function<void()> done)
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->drop_held(ticket);
+        this->enqueue_release(ticket, std::move(done));
+    }
+    this->actions_.run();
+}
+
+std::size_t claim_controller::pending() const
+{
+    const std::scoped_lock lock(this->mutex_);
+    std::size_t count = 0;
+    for (const auto& it : this->partitions_) {
+        count += it.pending.size() + it.in_append.size();
+    }
+    return count;
+}
+
+std::optional<claim_answer> claim_controller::answer_without_claim(const digest128& key,
+                                                                   std::uint64_t request_digest)
+{
+    if (const auto it = this->held_.find(key); it != this->held_.end()) {
+        if (it->second.ticket.request_digest != request_digest) {
+            return conflict_answer();
+        }
+        const auto& completion = it->second.completion;
+        return completion ? repeated_answer(*completion) : in_progress_answer();
+    }
+    const auto& ledger = this->partitions_[this->partition_of(key)].ledger;
+    if (const auto* it = ledger.completion(key, request_digest, this->ports_.unix_now())) {
+        return repeated_answer(*it);
+    }
+    return std::nullopt;
+}
+
+std::size_t claim_controller::partition_of(const digest128& key) const
+{
+    return key.low % this->partitions_.size();
+}
+
+void claim_controller::enqueue(pending_entry entry)
+{
+    this->partitions_[this->partition_of(entry.ticket.key)].pending.push_back(std::move(entry));
+    this->schedule_flush({});
+}
+
+void claim_controller::enqueue_release(const claim_ticket& ticket, std::function<void()> attempted)
+{
+    pending_entry entry{
+        .entry = {}, .ticket = ticket, .claimed = {}, .attempted = std::move(attempted)};
+    entry.entry.mutable_release()->set_key_digest(policy::key_digest_bytes(ticket.key));
+    entry.entry.mutable_release()->set_operation_id(ticket.operation_id);
+    this->enqueue(std::move(entry));
+}
+
+void claim_controller::schedule_flush(duration delay)
+{
+    if (std::exchange(this->flush_scheduled_, true)) {
+        return;
+    }
+    const auto earliest = this->last_append_ + this->options_.batch_interval;
+    delay = std::max(delay, earliest - this->clock_.now());
+    this->actions_.add([this, delay] {
+        const auto run_flush = [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->flush();
+            }
+        };
+        if (delay <= duration{}) {
+            run_flush();
+        }
+        else {
+            this->ports_.after(delay, run_flush);
+        }
+    });
+}
+
+void claim_controller::flush()
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->flush_scheduled_ = false;
+        const auto count = this->partitions_.size();
+        for (std::size_t n = 0; n < count; ++n) {
+            const auto index = (this->next_partition_ + n) % count;
+            if (this->can_append(this->partitions_[index])) {
+                this->next_partition_ = index + 1;
+                this->append(index);
+                break;
+            }
+        }
+        if (std::ranges::any_of(this->partitions_,
+                                [this](const auto& it) { return this->can_append(it); })) {
+            this->schedule_flush(this->options_.batch_interval);
+        }
+        else if (std::ranges::any_of(this->partitions_, [](const auto& it) {
+                     return !it.appending && !it.pending.empty();
+                 })) {
+            this->schedule_flush(this->options_.retry_interval);
+        }
+    }
+    this->actions_.run();
+}
+
+bool claim_controller::can_append(const partition& target) const
+{
+    if (target.appending || target.pending.empty()) {
+        return false;
+    }
+    return target.retry_at <= this->clock_.now() ||
+           std::ranges::any_of(target.pending, [](const auto& it) { return it.entry.has_claim(); });
+}
+
+void claim_controller::append(std::size_t index)
+{
+    auto& target = this->partitions_[index];
+    target.appending = true;
+    target.in_append = std::exchange(target.pending, {});
+    this->last_append_ = this->clock_.now();
+    wire::claim_batch batch;
+    batch.set_batch_id(make_incarnation());
+    for (const auto& it : target.in_append) {
+        *batch.add_entries() = it.entry;
+    }
+    this->actions_.add([this, index, stream = target.stream, data = batch.SerializeAsString()] {
+        this->log_.append(
+            stream, data,
+            [weak = this->weak_from_this(), index](const transport::append_result& result) {
+                if (const auto self = weak.lock()) {
+                    self->on_appended(index, result);
+                }
+            });
+    });
+}
+
+void claim_controller::on_appended(std::size_t index, const transport::append_result& result)
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        auto& target = this->partitions_[index];
+        target.appending = false;
+        if (const auto* stored = std::get_if<transport::append_done>(&result)) {
+            this->on_stored(target, stored->offset);
+            this->read(index);
+        }
+        else if (const auto* rejected = std::get_if<transport::append_rejected>(&result)) {
+            this->on_not_stored(target, false, rejected->reason);
+        }
+        else {
+            this->on_not_stored(target, true, std::get<transport::append_ambiguous>(result).reason);
+        }
+        if (!target.pending.empty()) {
+            this->schedule_flush({});
+        }
+    }
+    this->actions_.run();
+}
+
+void claim_controller::on_stored(partition& target, std::uint64_t offset)
+{
+    target.read_target = std::max(target.read_target, offset);
+    for (auto& it : std::exchange(target.in_append, {})) {
+        if (it.attempted) {
+            this->actions_.add(std::move(it.attempted));
+        }
+        if (!it.entry.has_release()) {
+            target.appended.push_back(
+                {.offset = offset, .ticket = it.ticket, .claimed = std::move(it.claimed)});
+        }
+    }
+}
+
+void claim_controller::on_not_stored(partition& target, bool maybe_stored,
+                                     const std::string& reason)
+{
+    log_of_claim().warning("Append to {} failed: {}", target.stream, reason);
+    target.retry_at = this->clock_.now() + this->options_.retry_interval;
+    for (auto& it : std::exchange(target.in_append, {})) {
+        if (it.attempted) {
+            this->actions_.add(std::exchange(it.attempted, {}));
+        }
+        if (!it.entry.has_claim()) {
+            target.pending.push_back(std::move(it));
+            continue;
+        }
+        this->drop_held(it.ticket);
+        if (maybe_stored) {
+            this->enqueue_release(it.ticket, {});
+        }
+        this->answer(std::move(it.claimed),
+                     refusal(claim_verdict::unavailable,
+                             fmt::format("the log did not confirm the claim: {}", reason)));
+    }
+}
+
+void claim_controller::read(std::size_t index)
+{
+    auto& target = this->partitions_[index];
+    if (std::exchange(target.reading, true)) {
+        return;
+    }
+    this->actions_.add([this, index, stream = target.stream, from = target.next_read] {
+        this->log_.read(stream, from, records_per_read, duration{},
+                        [weak = this->weak_from_this(), index](const transport::read_result& it) {
+                            if (const auto self = weak.lock()) {
+                                self->on_read(index, it);
+                            }
+                        });
+    });
+}
+
+void claim_controller::on_read(std::size_t index, const transport::read_result& result)
+{
+    {
+        const std::scoped_lock lock(this->mutex_);
+        auto& target = this->partitions_[index];
+        target.reading = false;
+        bool progress = false;
+        std::string reason = "the record that was appended is not there";
+        if (const auto* read = std::get_if<transport::read_records>(&result)) {
+            progress = !read->records.empty();
+            for (const auto& record : read->records) {
+                this->fold(target, record);
+            }
+        }
+        else if (const auto* expired = std::get_if<transport::read_expired>(&result)) {
+            progress = expired->earliest > target.next_read;
+            target.next_read = std::max(target.next_read, expired->earliest);
+        }
+        else {
+            reason = std::get<transport::read_unavailable>(result).reason;
+        }
+        this->resolve(target);
+        target.catching_up = target.catching_up && progress;
+        if (target.next_read <= target.read_target && !progress) {
+            this->fail_appended(target, reason);
+        }
+        else if (target.next_read <= target.read_target || target.catching_up) {
+            this->read(index);
+        }
+    }
+    this->actions_.run();
+}
+
+void claim_controller::fold(partition& target, const transport::stored_record& record)
+{
+    if (record.offset < target.next_read) {
+        return;
+    }
+    target.next_read = record.offset + 1;
+    wire::claim_batch batch;
+    if (!batch.ParseFromString(record.data)) {
+        log_of_claim().error("Record {} of {} is damaged and has no effect.", record.offset,
+                             target.stream);
+        return;
+    }
+    target.ledger.fold(record.offset, batch, this->ports_.unix_now());
+}
+
+void claim_controller::resolve(partition& target)
+{
+    std::vector<appended_entry> left;
+    for (auto& it : target.appended) {
+        if (it.offset >= target.next_read) {
+            left.push_back(std::move(it));
+            continue;
+        }
+        if (it.claimed) {
+            this->answer(std::move(it.claimed), this->judge(target, it.ticket));
+        }
+        this->drop_held(it.ticket);
+    }
+    target.appended = std::move(left);
+}
+
+claim_answer claim_controller::judge(const partition& target, const claim_ticket& ticket)
+{
+    const auto now = this->ports_.unix_now();
+    switch (target.ledger.standing(ticket.key, ticket.operation_id)) {
+    case policy::claim_standing::won: {
+        claim_answer answer;
+        answer.verdict = claim_verdict::run;
+        answer.ticket = ticket;
+        return answer;
+    }
+    case policy::claim_standing::completed:
+        if (const auto* it = target.ledger.completion(ticket.key, ticket.request_digest, now)) {
+            return repeated_answer(*it);
+        }
+        return in_progress_answer();
+    case policy::claim_standing::in_progress:
+        this->enqueue_release(ticket, {});
+        return in_progress_answer();
+    case policy::claim_standing::conflict:
+        this->enqueue_release(ticket, {});
+        return conflict_answer();
+    case policy::claim_standing::unknown:
+        break;
+    }
+    this->enqueue_release(ticket, {});
+    return refusal(claim_verdict::unavailable, "the claim is not in the log");
+}
+
+void claim_controller::fail_appended(partition& target, const std::string& reason)
+{
+    log_of_claim().warning("Reading {} back failed: {}", target.stream, reason);
+    std::vector<appended_entry> left;
+    for (auto& it : target.appended) {
+        if (!it.claimed) {
+            left.push_back(std::move(it));
+            continue;
+        }
+        this->drop_held(it.ticket);
+        this->enqueue_release(it.ticket, {});
+        this->answer(std::move(it.claimed),
+                     refusal(claim_verdict::unavailable,
+                             fmt::format("the claim could not be read back: {}", reason)));
+    }
+    target.appended = std::move(left);
+}
+
+void claim_controller::answer(claim_done done, claim_answer value)
+{
+    this->actions_.add([done = std::move(done), value = std::move(value)] { done(value); });
+}
+
+void claim_controller::drop_held(const claim_ticket& ticket)
+{
+    const auto it = this->held_.find(ticket.key);
+    if (it != this->held_.end() && it->second.ticket.operation_id == ticket.operation_id) {
+        this->held_.erase(it);
+    }
+}
+
+} // namespace medlaryoke::controllers
--- /dev/null
+++ b/Tests/controllers/test_claims.cxx
@@ -0,0 +1,172 @@
+#include "controllers/claim_controller.h"
+
+#include <random>
+
+#include <criterion/criterion.h>
+
+#include "fakes/agent_fleet.h"
+
+using namespace medlaryoke;
+using namespace std::chrono_literals;
+using medlaryoke::fakes::agent_fleet;
+using medlaryoke::fakes::faulty_log;
+
+namespace {
+
+std::size_t calls_of(const agent_fleet& fleet)
+{
+    std::size_t count = 0;
+    for (const auto& agent : fleet.agents) {
+        count += agent->upstream.calls.size();
+    }
+    return count;
+}
+
+} // namespace
+
+// Guards against a call that runs at two agents (P4), whatever the order of their log traffic.
+Test(claims, duplicates_over_two_agents_run_once)
+{
+    for (unsigned seed = 1; seed <= 100; ++seed) {
+        std::mt19937 random(seed);
+        agent_fleet fleet(2);
+        std::vector<std::shared_ptr<fakes::seen_dispatch>> seen;
+        for (int n = 0; n < 4; ++n) {
+            seen.push_back(fleet.dispatch(random() % 2, "unlock", "key"));
+            for (auto steps = random() % 6; steps > 0; --steps) {
+                fleet.step();
+            }
+        }
+        fleet.advance(500ms);
+        cr_assert_eq(calls_of(fleet), 1, "seed %u", seed);
+        const std::size_t winner = fleet.agents[0]->upstream.calls.empty() ? 1 : 0;
+        fleet.agents[winner]->upstream.calls[0]->answer("unlocked");
+        fleet.advance(500ms);
+        for (const std::size_t agent : {0U, 1U}) {
+            const auto repeat = fleet.dispatch(agent, "unlock", "key");
+            fleet.advance(500ms);
+            cr_assert_str_eq(repeat->end.c_str(), "finished", "seed %u", seed);
+            cr_assert_str_eq(repeat->data.c_str(), "unlocked");
+        }
+        cr_assert_eq(calls_of(fleet), 1, "seed %u", seed);
+        const auto finished =
+            std::ranges::count(seen, "finished", [](const auto& it) { return it->end; });
+        cr_assert_geq(finished, 1, "seed %u", seed);
+    }
+}
+
+// Guards against a second run after the agent that ran the first one was lost.
+Test(claims, restart_between_claim_and_completion_leaves_the_key_unknown)
+{
+    agent_fleet fleet(1);
+    const auto first = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_eq(calls_of(fleet), 1);
+    fleet.restart_agent(0);
+    fleet.advance(2s);
+    cr_assert_str_eq(first->end.c_str(), "unknown");
+    const auto repeat = fleet.dispatch(0, "pay", "key");
+    fleet.advance(500ms);
+    cr_assert_str_eq(repeat->end.c_str(), "unknown");
+    cr_assert_eq(calls_of(fleet), 0);
+}
+
+// Guards against running without a confirmed claim, and against a key that stays taken for ever
+// because the answer to its append was lost.
+Test(claims, unconfirmed_claim_is_not_run_and_released_later)
+{
+    for (const auto mode : {faulty_log::fault::answer_lost, faulty_log::fault::stored_late,
+                            faulty_log::fault::outage, faulty_log::fault::unreadable}) {
+        agent_fleet fleet(2);
+        fleet.log.mode = mode;
+        const auto first = fleet.dispatch(0, "pay", "key");
+        fleet.advance(300ms);
+        cr_assert_str_eq(first->end.c_str(), "refused");
+        cr_assert_eq(first->reason, wire::REFUSAL_REASON_CLAIM_UNAVAILABLE);
+        cr_assert_eq(calls_of(fleet), 0);
+        fleet.log.mode = faulty_log::fault::none;
+        fleet.advance(2s);
+        fleet.log.store_late_records();
+        const auto second = fleet.dispatch(1, "pay", "key");
+        fleet.advance(300ms);
+        cr_assert_eq(calls_of(fleet), 1, "fault %d", static_cast<int>(mode));
+        fleet.agents[1]->upstream.calls[0]->answer("paid");
+        fleet.advance(300ms);
+        cr_assert_str_eq(second->end.c_str(), "finished");
+    }
+}
+
+// Guards against a key that stays taken although the upstream was never reached.
+Test(claims, claim_is_released_if_nothing_was_sent)
+{
+    agent_fleet fleet(2);
+    const auto first = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    fleet.agents[0]->upstream.calls.at(0)->events.on_failure(false, "connection refused");
+    fleet.advance(200ms);
+    cr_assert_eq(first->reason, wire::REFUSAL_REASON_UPSTREAM_DOWN);
+    fleet.dispatch(1, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_eq(fleet.agents[1]->upstream.calls.size(), 1);
+    // The upstream may have run this one, so the key must not run again.
+    fleet.agents[1]->upstream.calls.at(0)->events.on_failure(true, "connection reset");
+    fleet.advance(200ms);
+    const auto third = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_str_eq(third->end.c_str(), "unknown");
+    cr_assert_eq(calls_of(fleet), 2);
+}
+
+// Guards against an outcome that nobody learns because the caller of a call that cannot be undone
+// went away.
+Test(claims, cancelled_call_runs_to_its_end_and_is_remembered)
+{
+    agent_fleet fleet(1);
+    const auto first = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    fleet.session(0).cancel(first->id);
+    fleet.advance(200ms);
+    auto& call = *fleet.agents[0]->upstream.calls.at(0);
+    cr_assert(!call.cancelled);
+    call.answer("paid");
+    const auto repeat = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_str_eq(repeat->data.c_str(), "paid");
+    cr_assert_eq(fleet.agents[0]->server->counts().load.running(), 0);
+}
+
+// Guards against an answer that is lost because the log was down when the call ended.
+Test(claims, completion_outlives_an_outage)
+{
+    agent_fleet fleet(2);
+    fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    fleet.log.mode = faulty_log::fault::outage;
+    fleet.agents[0]->upstream.calls.at(0)->answer("paid");
+    fleet.advance(3s);
+    cr_assert_eq(fleet.agents[0]->claims->pending(), 1);
+    const auto repeat = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_str_eq(repeat->data.c_str(), "paid");
+    fleet.log.mode = faulty_log::fault::none;
+    fleet.advance(1s);
+    cr_assert_eq(fleet.agents[0]->claims->pending(), 0);
+    const auto elsewhere = fleet.dispatch(1, "pay", "key");
+    fleet.advance(200ms);
+    cr_assert_str_eq(elsewhere->data.c_str(), "paid");
+}
+
+// Guards against more appends than the platform's log can take.
+Test(claims, appends_are_batched)
+{
+    agent_fleet fleet(1, 100);
+    const auto before = fleet.log.appends;
+    for (int n = 0; n < 100; ++n) {
+        fleet.dispatch(0, "pay", "key" + std::to_string(n));
+        fleet.settle();
+        fleet.executor.clock.advance(1ms);
+    }
+    fleet.advance(300ms);
+    cr_assert_eq(calls_of(fleet), 100);
+    cr_assert_leq(fleet.log.appends - before, 10, "one append in 20 ms, and few steps after that");
+}
--- /dev/null
+++ b/Tests/fakes/faulty_log.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "transport/log_service.h"
+
+namespace medlaryoke::fakes {
+
+/// A log in memory whose answers wait until deliver() and whose faults are switched by hand.
+class faulty_log final : public transport::log_service {
+public:
+    enum class fault {
+        none,
+        outage,      ///< nothing is stored or read
+        answer_lost, ///< appends are stored, but the answer is lost
+        stored_late, ///< as answer_lost, but stored only by store_late_records()
+        unreadable,  ///< appends work, reads do not
+    };
+
+    fault mode = fault::none;
+    std::size_t appends = 0;
+
+    void append(const std::string& stream, std::string data,
+                std::function<void(transport::append_result)> done) override
+    {
+        ++this->appends;
+        transport::append_result result = transport::append_ambiguous{"lost"};
+        if (this->mode == fault::outage) {
+            result = transport::append_rejected{"outage"};
+        }
+        else if (this->mode == fault::stored_late) {
+            this->late_.emplace_back(stream, std::move(data));
+        }
+        else {
+            this->streams_[stream].push_back(std::move(data));
+            if (this->mode != fault::answer_lost) {
+                result = transport::append_done{this->streams_[stream].size()};
+            }
+        }
+        this->answers_.emplace_back([done = std::move(done), result] { done(result); });
+    }
+
+    void read(const std::string& stream, std::uint64_t from, std::size_t limit, duration,
+              std::function<void(transport::read_result)> done) override
+    {
+        transport::read_result result = transport::read_unavailable{"outage"};
+        if (this->mode == fault::none || this->mode == fault::answer_lost) {
+            const auto& records = this->streams_[stream];
+            transport::read_records found{.earliest = 1, .next = records.size() + 1, .records = {}};
+            for (auto n = from; n <= records.size() && found.records.size() < limit; ++n) {
+                found.records.push_back({.offset = n, .data = records[n - 1]});
+            }
+            result = std::move(found);
+        }
+        this->answers_.emplace_back([done = std::move(done), result] { done(result); });
+    }
+
+    void store_late_records()
+    {
+        for (auto& [stream, data] : std::exchange(this->late_, {})) {
+            this->streams_[stream].push_back(std::move(data));
+        }
+    }
+
+    /// @return whether an answer was delivered
+    bool deliver()
+    {
+        if (this->answers_.empty()) {
+            return false;
+        }
+        const auto fn = std::move(this->answers_.front());
+        this->answers_.pop_front();
+        fn();
+        return true;
+    }
+
+private:
+    std::map<std::string, std::vector<std::string>> streams_;
+    std::vector<std::pair<std::string, std::string>> late_;
+    std::deque<std::function<void()>> answers_;
+};
+
+} // namespace medlaryoke::fakes
