agent: Add the agent process

Cause: the parts of an agent were not connected.

Change: agent_process wires the log, the claims, the upstream, the message channel and an operator listener with /healthz, /readyz and /metrics.

--- /dev/null
+++ b/Source/commands/agent_command.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "model/process_settings.h"
+
+namespace CLI { // NOLINT(readability-identifier-naming): name of the library
+class App;
+}
+
+namespace medlaryoke::commands {
+
+/// The subcommand `agent`: serves one upstream.
+class agent_command {
+public:
+    /// Adds the subcommand.
+    /// @param app the command line
+    static void add_to(CLI::App& app);
+
+    /// Runs an agent until it was told to stop and its requests have ended.
+    /// @param settings the settings of the agent
+    /// @throws error of kind unavailable if an address cannot be bound, or if requests were still
+    /// running at the end of the drain timeout
+    static void run(const model::agent_settings& settings);
+};
+
+} // namespace medlaryoke::commands
--- /dev/null
+++ b/Source/commands/agent_process.cxx
@@ -0,0 +1,209 @@
+#include "commands/agent_process.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "base/error.h"
+#include "base/identifiers.h"
+#include "controllers/agent_session.h"
+
+namespace medlaryoke::commands {
+
+namespace {
+
+/// Bounds how late a deadline or a silent entry is noticed.
+constexpr duration tick_interval = std::chrono::milliseconds(50);
+
+/// The first look comes after the frames that announce the drain have left.
+constexpr duration drain_poll_interval = std::chrono::milliseconds(100);
+
+policy::unix_time unix_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+std::shared_ptr<controllers::claim_controller>
+make_claims(const model::agent_settings& settings, std::uint64_t incarnation,
+            const clock_source& clock, transport::log_service& log, transport::runtime& context)
+{
+    controllers::claim_controller_options options;
+    options.partitions = settings.claim_partitions;
+    options.retention =
+        std::chrono::duration_cast<std::chrono::milliseconds>(settings.claim_retention);
+    options.batch_interval = settings.claim_batch_interval;
+    options.agent_incarnation = incarnation;
+    return std::make_shared<controllers::claim_controller>(
+        clock, log, options,
+        controllers::claim_controller_ports{
+            .after = [&context](duration delay,
+                                std::function<void()> fn) { context.after(delay, std::move(fn)); },
+            .unix_now = unix_now});
+}
+
+controllers::agent_server_options make_server_options(const model::agent_settings& settings,
+                                                      std::uint64_t incarnation)
+{
+    controllers::agent_server_options options;
+    options.incarnation = incarnation;
+    options.instance = settings.instance.instance;
+    options.data_centre = settings.instance.data_centre;
+    options.serves = settings.serves;
+    options.admission.initial_limit = settings.initial_limit;
+    options.admission.max_limit = settings.max_limit;
+    return options;
+}
+
+} // namespace
+
+agent_process::agent_process(const model::agent_settings& settings)
+    : settings_(settings), incarnation_(make_incarnation()), runtime_(settings.instance.threads),
+      log_service_(runtime_, settings.platform.log, settings.platform.request_timeout),
+      claims_(make_claims(settings, incarnation_, clock_, log_service_, runtime_)),
+      upstream_(runtime_, {.address = settings.upstream_address,
+                           .engine = settings.upstream_type == "engine"}),
+      server_(std::make_shared<controllers::agent_server>(
+          clock_, make_server_options(settings, incarnation_), this->make_server_ports(), upstream_,
+          *claims_))
+{
+    this->channel_ = std::make_unique<transport::message_server>(
+        this->runtime_, settings.listen_address,
+        transport::message_server_events{
+            .on_frame = [this](const transport::connection_id& connection,
+                               const wire::frame& frame) {
+                this->server_->on_frame(connection, frame);
+            }});
+    transport::http_server_options options;
+    options.address = settings.operator_address;
+    this->operator_server_ = std::make_unique<transport::http_server>(
+        this->runtime_, options,
+        [this](const transport::http_request& request,
+               const std::shared_ptr<transport::response_stream>& response) {
+            response->respond(controllers::answer_agent_operator(request, this->status()));
+        });
+    this->config_.subscribe([this](const auto& config) { this->on_config(*config); });
+}
+
+agent_process::~agent_process()
+{
+    this->runtime_.stop();
+}
+
+void agent_process::run()
+{
+    this->runtime_.on_termination_signal([this] { this->begin_drain(); });
+    this->claims_->start();
+    this->tick_regularly();
+    this->send_heartbeats_regularly();
+    this->runtime_.start();
+    this->log_.info("Serving upstream {} at {} to entries on {}, operators on {}, incarnation "
+                    "{:016x}.",
+                    this->settings_.upstream, this->settings_.upstream_address,
+                    this->channel_->address(), this->operator_server_->address(),
+                    this->incarnation_);
+    this->runtime_.wait();
+    if (this->cut_off_) {
+        throw error(error_kind::unavailable,
+                    fmt::format("agent {} stopped after {} s with requests that had not ended",
+                                this->settings_.instance.instance,
+                                this->settings_.drain_timeout / std::chrono::seconds(1)),
+                    "Raise drain_timeout, or stop the callers of long requests first.");
+    }
+    this->log_.info("Stopped.");
+}
+
+void agent_process::begin_drain()
+{
+    if (this->draining_.exchange(true)) {
+        return;
+    }
+    this->log_.info("Draining: no new work is taken.");
+    this->update_leaving();
+    this->stop_when_drained(this->clock_.now() + this->settings_.drain_timeout);
+}
+
+std::string agent_process::entry_address() const
+{
+    return this->channel_->address();
+}
+
+std::string agent_process::operator_address() const
+{
+    return this->operator_server_->address();
+}
+
+controllers::agent_server_ports agent_process::make_server_ports()
+{
+    return {
+        .send = [this](const transport::connection_id& connection,
+                       wire::frame frame) { this->channel_->send(connection, std::move(frame)); },
+        .config_offset = [this] { return this->config_.view()->offset; },
+        .config_records_from =
+            [this](std::uint64_t offset) { return this->config_.records_from(offset); },
+        .fold_config = [this](const wire::config_records& records) { this->config_.fold(records); },
+        .on_other_frame = {}};
+}
+
+void agent_process::on_config(const controllers::config_view& config)
+{
+    std::vector<policy::priority_rule> rules;
+    for (const auto& [name, item] : config.priorities) {
+        rules.push_back({.order = item.spec.order,
+                         .floor = item.spec.floor,
+                         .worth = item.spec.worth,
+                         .first_token_target = item.spec.first_token_target});
+    }
+    this->server_->set_priorities(rules);
+    const auto own = config.upstreams.find(this->settings_.upstream);
+    this->configured_leaving_ =
+        own != config.upstreams.end() && own->second.spec.state == model::upstream_state::leaving;
+    this->update_leaving();
+}
+
+void agent_process::update_leaving()
+{
+    this->server_->set_leaving(this->draining_ || this->configured_leaving_);
+}
+
+void agent_process::tick_regularly()
+{
+    this->runtime_.after(tick_interval, [this] {
+        this->server_->tick();
+        this->tick_regularly();
+    });
+}
+
+void agent_process::send_heartbeats_regularly()
+{
+    this->runtime_.after(controllers::heartbeat_interval, [this] {
+        this->server_->send_heartbeats();
+        this->send_heartbeats_regularly();
+    });
+}
+
+void agent_process::stop_when_drained(time_point limit)
+{
+    this->runtime_.after(drain_poll_interval, [this, limit] {
+        const bool drained = this->server_->drained();
+        if (drained || this->clock_.now() >= limit) {
+            this->cut_off_ = !drained;
+            this->runtime_.stop();
+            return;
+        }
+        this->stop_when_drained(limit);
+    });
+}
+
+controllers::agent_status agent_process::status() const
+{
+    return {.upstream = this->settings_.upstream,
+            .draining = this->draining_,
+            .config_offset = this->config_.view()->offset,
+            .pending_claim_records = this->claims_->pending(),
+            .counts = this->server_->counts()};
+}
+
+} // namespace medlaryoke::commands
