transport: Test the server, the clients and the channels

The tests run against stand-ins and against sockets that the test plays itself: broken and oversized requests, replies cut short, connections closed or silent while pooled, damaged frames, and lost, late and refused appends. A proxy makes open connections go silent while new ones work.

--- a/Tests/StandIns/caller_load.cxx
+++ b/Tests/StandIns/caller_load.cxx
@@ -1,6 +1,7 @@
 #include "StandIns/caller_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <mutex>
 #include <utility>
@@ -37,7 +38,7 @@
     std::ranges::sort(samples);
     const auto at = [&samples](double fraction) {
         const auto n = static_cast<double>(samples.size() - 1);
-        return samples[static_cast<std::size_t>(n * fraction + 0.5)];
+        return samples[static_cast<std::size_t>(std::lround(n * fraction))];
     };
     return {{"p50", at(0.5)}, {"p95", at(0.95)}, {"p99", at(0.99)}};
 }
--- /dev/null
+++ b/Tests/fakes/raw_socket.cxx
@@ -0,0 +1,117 @@
+#include "fakes/raw_socket.h"
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <system_error>
+#include <unistd.h>
+#include <utility>
+
+namespace medlaryoke::fakes {
+
+namespace {
+
+int check(int result, const char* what)
+{
+    if (result < 0) {
+        throw std::system_error(errno, std::generic_category(), what);
+    }
+    return result;
+}
+
+sockaddr_in parse(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    sockaddr_in out{};
+    out.sin_family = AF_INET;
+    out.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &out.sin_addr);
+    return out;
+}
+
+} // namespace
+
+int connect_to(const std::string& address)
+{
+    const int descriptor = check(socket(AF_INET, SOCK_STREAM, 0), "socket");
+    const auto target = parse(address);
+    check(connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target),
+          "connect");
+    return descriptor;
+}
+
+raw_connection::raw_connection(const std::string& address) : descriptor_(connect_to(address)) {}
+
+raw_connection::raw_connection(raw_connection&& other) noexcept
+    : descriptor_(std::exchange(other.descriptor_, -1))
+{
+}
+
+raw_connection::~raw_connection()
+{
+    if (this->descriptor_ >= 0) {
+        close(this->descriptor_);
+    }
+}
+
+void send_all(int descriptor, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const auto n = ::send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        check(static_cast<int>(n), "send");
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+}
+
+std::string raw_connection::read_until(std::string_view marker) const
+{
+    std::string text;
+    char byte = 0;
+    while (!text.ends_with(marker) && recv(this->descriptor_, &byte, 1, 0) > 0) {
+        text += byte;
+    }
+    return text;
+}
+
+std::string raw_connection::read_all() const
+{
+    std::string text;
+    char byte = 0;
+    while (recv(this->descriptor_, &byte, 1, 0) > 0) {
+        text += byte;
+    }
+    return text;
+}
+
+raw_listener::raw_listener() : descriptor_(check(socket(AF_INET, SOCK_STREAM, 0), "socket"))
+{
+    const int yes = 1;
+    setsockopt(this->descriptor_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
+    auto target = parse("127.0.0.1:0");
+    socklen_t size = sizeof target;
+    check(bind(this->descriptor_, reinterpret_cast<sockaddr*>(&target), size), "bind");
+    check(listen(this->descriptor_, SOMAXCONN), "listen");
+    check(getsockname(this->descriptor_, reinterpret_cast<sockaddr*>(&target), &size),
+          "getsockname");
+    this->address_ = "127.0.0.1:" + std::to_string(ntohs(target.sin_port));
+}
+
+raw_listener::~raw_listener()
+{
+    close(this->descriptor_);
+}
+
+raw_connection raw_listener::accept() const
+{
+    return raw_connection(check(::accept(this->descriptor_, nullptr, nullptr), "accept"));
+}
+
+bool raw_listener::has_pending() const
+{
+    pollfd entry{this->descriptor_, POLLIN, 0};
+    return poll(&entry, 1, 0) > 0;
+}
+
+} // namespace medlaryoke::fakes
--- /dev/null
+++ b/Tests/fakes/tcp_proxy.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "fakes/raw_socket.h"
+
+namespace medlaryoke::fakes {
+
+/// Relays TCP connections to one server. Connections can go silent without being closed while new
+/// ones work, as behind a middlebox that lost its state.
+class tcp_proxy {
+public:
+    /// @param server IPv4 address and port of the server
+    explicit tcp_proxy(std::string server);
+    tcp_proxy(const tcp_proxy&) = delete;
+    tcp_proxy& operator=(const tcp_proxy&) = delete;
+    tcp_proxy(tcp_proxy&&) = delete;
+    tcp_proxy& operator=(tcp_proxy&&) = delete;
+    ~tcp_proxy();
+
+    /// @return the address to connect to
+    [[nodiscard]] const std::string& address() const { return this->listener_.address(); }
+
+    /// Relays nothing more on the connections that are open now, in both directions.
+    void silence_open_connections() { this->silence_up_to_ = this->opened_.load(); }
+
+    /// @return connections accepted so far
+    [[nodiscard]] unsigned opened() const { return this->opened_; }
+
+private:
+    struct relay {
+        int caller;
+        int server;
+        unsigned number; ///< from 1
+        bool ended = false;
+    };
+
+    void run();
+    void accept();
+    void pass(relay& entry, int from, int to) const;
+
+    std::string server_;
+    raw_listener listener_;
+    std::atomic<unsigned> opened_ = 0;
+    std::atomic<unsigned> silence_up_to_ = 0;
+    std::atomic<bool> stopping_ = false;
+    std::vector<relay> relays_; ///< used by the thread only
+    std::thread thread_;
+};
+
+} // namespace medlaryoke::fakes
--- /dev/null
+++ b/Tests/transport/test_http_server.cxx
@@ -0,0 +1,223 @@
+#include "transport/http_server.h"
+
+#include <future>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+#include "fakes/raw_socket.h"
+#include "transport/error_response.h"
+#include "transport/http_pair.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::transport;
+using medlaryoke::fakes::raw_connection;
+
+namespace {
+
+using stream_ptr = std::shared_ptr<response_stream>;
+
+void echo(const http_request& request, const stream_ptr& stream)
+{
+    stream->respond(make_json_response(200, request.method + request.target + request.body));
+}
+
+http_server_options small_limits()
+{
+    http_server_options options;
+    options.max_header_bytes = 1000;
+    options.max_body_bytes = 5000;
+    return options;
+}
+
+/// Checks that a reply is a typed error.
+void expect_error(const std::string& raw, unsigned status, const std::string& kind,
+                  const std::string& outcome)
+{
+    cr_assert(raw.starts_with("HTTP/1.1 " + std::to_string(status)), "%s", raw.c_str());
+    const auto body = nlohmann::json::parse(raw.substr(raw.find("\r\n\r\n") + 4));
+    cr_assert(body["error"]["kind"] == kind);
+    cr_assert(!body["error"]["message"].get<std::string>().empty());
+    cr_assert(!body["error"]["remedy"].get<std::string>().empty());
+    cr_assert(body["outcome"] == outcome);
+}
+
+std::string send_raw(const http_server& server, const std::string& bytes)
+{
+    const raw_connection connection(server.address());
+    connection.send(bytes);
+    return connection.read_all();
+}
+
+} // namespace
+
+// Guards against a request or reply that changes on the way, also on a reused connection.
+Test(http_server, whole_replies)
+{
+    http_pair pair(echo);
+    for (int n = 0; n < 50; ++n) {
+        const auto body = std::string(static_cast<std::size_t>(n) * 1000, 'b');
+        const auto got = reply(pair.client, {"POST", "/x?y=1", {{"A", "b"}}, body});
+        cr_assert(got.head.status == 200);
+        cr_assert(got.body == "POST/x?y=1" + body);
+    }
+    cr_assert(pair.server.open_connections() == 1);
+}
+
+// Guards against a stream that loses, repeats or reorders parts.
+Test(http_server, chunked_stream)
+{
+    constexpr int parts = 2000;
+    http_pair pair([](const http_request&, const stream_ptr& stream) {
+        stream->start({200, {{"Content-Type", "text/event-stream"}}});
+        for (int n = 0; n < parts; ++n) {
+            stream->write("data: " + std::to_string(n) + "\n\n");
+        }
+        stream->finish();
+    });
+    std::string expected;
+    for (int n = 0; n < parts; ++n) {
+        expected += "data: " + std::to_string(n) + "\n\n";
+    }
+    const auto got = reply(pair.client, {"GET", "/", {}, {}});
+    cr_assert(got.body == expected);
+    cr_assert(find_header(got.head.headers, "content-type") == "text/event-stream");
+}
+
+// Guards against a chunk that is held back until the next one or the end of the stream.
+Test(http_server, chunks_arrive_before_the_end)
+{
+    std::promise<stream_ptr> started;
+    http_pair pair([&started](const http_request&, const stream_ptr& stream) {
+        stream->start({200, {}});
+        stream->write("first");
+        started.set_value(stream);
+    });
+    std::promise<std::string> first;
+    std::promise<void> ended;
+    http_events events;
+    events.on_data = [&first, n = 0](const std::string& data) mutable {
+        if (n++ == 0) {
+            first.set_value(data);
+        }
+    };
+    events.on_end = [&ended] { ended.set_value(); };
+    pair.client.send({"GET", "/", {}, {}}, {}, events);
+    const auto stream = started.get_future().get();
+    cr_assert(first.get_future().get() == "first");
+    stream->write("second");
+    stream->finish();
+    ended.get_future().get();
+}
+
+// Guards against work that goes on for a caller who is gone.
+Test(http_server, reports_a_client_that_disconnects)
+{
+    std::promise<stream_ptr> started;
+    std::promise<void> closed;
+    http_pair pair([&](const http_request&, const stream_ptr& stream) {
+        stream->on_closed([&closed] { closed.set_value(); });
+        stream->start({200, {}});
+        stream->write("first");
+        started.set_value(stream);
+    });
+    const auto running = pair.client.send({"GET", "/", {}, {}}, {}, {});
+    const auto stream = started.get_future().get();
+    running->cancel();
+    closed.get_future().get();
+}
+
+// Guards against limits that are not enforced or stop the server.
+Test(http_server, refuses_oversized_requests)
+{
+    http_pair pair(echo, small_limits());
+    expect_error(
+        send_raw(pair.server, "GET / HTTP/1.1\r\nA: " + std::string(2000, 'a') + "\r\n\r\n"), 413,
+        "too_large", "not-run");
+    expect_error(send_raw(pair.server, "POST / HTTP/1.1\r\nContent-Length: 5001\r\n\r\n"), 413,
+                 "too_large", "not-run");
+    expect_error(
+        send_raw(pair.server, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1771\r\n" +
+                                  std::string(0x1771, 'b') + "\r\n0\r\n\r\n"),
+        413, "too_large", "not-run");
+    // The client is still sending when the refusal comes.
+    const auto got = reply(pair.client, {"POST", "/", {}, std::string(20'000'000, 'b')});
+    cr_assert(got.head.status == 413);
+    cr_assert(reply(pair.client, {"POST", "/", {}, std::string(5000, 'b')}).head.status == 200);
+}
+
+// Guards against broken requests that reach the handler or stop the server.
+Test(http_server, refuses_broken_requests)
+{
+    http_pair pair(echo);
+    for (const std::string bytes :
+         {"\x01\x02garbage\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n",
+          "GET / HTTP/1.1\r\nno colon\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
+        expect_error(send_raw(pair.server, bytes), 400, "invalid_argument", "not-run");
+    }
+    cr_assert(reply(pair.client, {"GET", "/", {}, {}}).body == "GET/");
+}
+
+// Guards against requests sent ahead that are lost or answered out of order.
+Test(http_server, answers_pipelined_requests_in_order)
+{
+    http_pair pair(echo);
+    const auto got = send_raw(pair.server, "GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n"
+                                           "GET /3 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const auto second = got.find("GET/2");
+    cr_assert(got.find("GET/1") < second && second < got.find("GET/3"));
+    cr_assert(got.find("GET/3") != std::string::npos);
+}
+
+// Guards against a handler's fault that leaves the caller without a reply or claims "not-run".
+Test(http_server, reports_faults_of_the_handler)
+{
+    http_pair pair([](const http_request& request, const stream_ptr&) {
+        if (request.target == "/typed") {
+            throw error(error_kind::not_found, "no such thing", "Name another thing.");
+        }
+        if (request.target == "/untyped") {
+            throw std::runtime_error("fault");
+        }
+    });
+    const std::string close = " HTTP/1.1\r\nConnection: close\r\n\r\n";
+    expect_error(send_raw(pair.server, "GET /typed" + close), 404, "not_found", "not-run");
+    expect_error(send_raw(pair.server, "GET /untyped" + close), 500, "internal", "unknown");
+    expect_error(send_raw(pair.server, "GET /dropped" + close), 500, "internal", "unknown");
+}
+
+// Guards against an aborted stream that looks complete to the client.
+Test(http_server, abort_breaks_the_reply)
+{
+    http_pair pair([](const http_request&, const stream_ptr& stream) {
+        stream->start({200, {}});
+        stream->write("part");
+        stream->abort();
+    });
+    cr_assert(failure(pair.client, {"GET", "/", {}, {}}).maybe_sent);
+}
+
+// Guards against a shutdown that cuts off a running reply or accepts new work.
+Test(http_server, drain_finishes_running_replies)
+{
+    std::promise<stream_ptr> started;
+    http_pair pair(
+        [&started](const http_request&, const stream_ptr& stream) { started.set_value(stream); });
+    auto running = std::async(std::launch::async, [&pair] {
+        return reply(pair.client, {"GET", "/", {}, {}});
+    });
+    const auto stream = started.get_future().get();
+    pair.server.drain();
+    while (!failure(pair.client, {"GET", "/", {}, {}}).message.ends_with("refused")) {
+    }
+    stream->respond(make_json_response(200, "whole"));
+    const auto got = running.get();
+    cr_assert(got.body == "whole");
+    cr_assert(find_header(got.head.headers, "Connection") == "close");
+}
--- /dev/null
+++ b/Tests/transport/test_log_client.cxx
@@ -0,0 +1,180 @@
+#include "transport/log_client.h"
+
+#include <future>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "StandIns/platform_standin.h"
+#include "transport/http_pair.h"
+#include "transport/instance_list_client.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::transport;
+
+namespace {
+
+constexpr auto short_timeout = std::chrono::milliseconds(300);
+constexpr auto long_wait = std::chrono::seconds(30);
+
+/// The platform and a client of its log.
+struct log_setup {
+    explicit log_setup(standins::platform_options options = {}, duration timeout = long_wait)
+        : platform(context, std::move(options)), control(context, platform.address()),
+          log(context, platform.address(), timeout)
+    {
+        context.start();
+    }
+    log_setup(const log_setup&) = delete;
+    log_setup& operator=(const log_setup&) = delete;
+    log_setup(log_setup&&) = delete;
+    log_setup& operator=(log_setup&&) = delete;
+    ~log_setup() { context.stop(); }
+
+    append_result append(const std::string& data)
+    {
+        std::promise<append_result> result;
+        log.append("s", data,
+                   [&result](append_result value) { result.set_value(std::move(value)); });
+        return result.get_future().get();
+    }
+
+    std::future<read_result> start_read(std::uint64_t from, duration wait = {})
+    {
+        const auto result = std::make_shared<std::promise<read_result>>();
+        log.read("s", from, 1000, wait,
+                 [result](read_result value) { result->set_value(std::move(value)); });
+        return result->get_future();
+    }
+
+    std::vector<stored_record> records(std::uint64_t from, duration wait = {})
+    {
+        auto result = this->start_read(from, wait).get();
+        cr_assert(std::holds_alternative<read_records>(result));
+        return std::get<read_records>(std::move(result)).records;
+    }
+
+    void put(const std::string& path, const std::string& body)
+    {
+        cr_assert(reply(control, {"PUT", path, {}, body}).head.status == 200);
+    }
+
+    runtime context{2};
+    standins::platform_standin platform;
+    http_client control;
+    log_client log;
+};
+
+} // namespace
+
+// Guards against records that change or get other offsets on the way.
+Test(log_client, reads_what_was_appended)
+{
+    log_setup setup;
+    std::string all_bytes;
+    for (int n = 0; n < 256; ++n) {
+        all_bytes += static_cast<char>(n);
+        cr_assert(std::get<append_done>(setup.append(all_bytes)).offset ==
+                  static_cast<std::uint64_t>(n) + 1);
+    }
+    const auto records = setup.records(1);
+    cr_assert(records.size() == 256);
+    for (std::size_t n = 0; n < records.size(); ++n) {
+        cr_assert(records[n].offset == n + 1);
+        cr_assert(records[n].data == all_bytes.substr(0, n + 1));
+    }
+}
+
+// Guards against a lost answer that is taken for "not stored" and leads to a second append.
+Test(log_client, lost_append_answer_is_ambiguous)
+{
+    log_setup setup;
+    setup.put("/control/faults", R"({"lose_append_answers":1})");
+    cr_assert(std::holds_alternative<append_ambiguous>(setup.append("lost")));
+    const auto records = setup.records(1);
+    cr_assert(records.size() == 1 && records[0].data == "lost");
+}
+
+// Guards against an append that takes effect after the client gave up and is taken for rejected.
+Test(log_client, late_append_is_ambiguous)
+{
+    log_setup setup({}, short_timeout);
+    setup.put("/control/faults", R"({"delay_ms":900})");
+    cr_assert(std::holds_alternative<append_ambiguous>(setup.append("late")));
+    setup.put("/control/faults", R"({"delay_ms":0})");
+    const auto records = setup.records(1, long_wait);
+    cr_assert(records.size() == 1 && records[0].data == "late");
+}
+
+// Guards against a refused append that is taken for ambiguous.
+Test(log_client, an_outage_rejects_appends)
+{
+    log_setup setup;
+    setup.put("/control/faults", R"({"reject_appends":true})");
+    cr_assert(std::holds_alternative<append_rejected>(setup.append("a")));
+    setup.put("/control/faults", R"({"reject_appends":false,"outage":true})");
+    cr_assert(std::holds_alternative<append_rejected>(setup.append("a")));
+    cr_assert(std::holds_alternative<read_unavailable>(setup.start_read(1).get()));
+}
+
+// Guards against an unanswered append that is taken for rejected.
+Test(log_client, silence_is_ambiguous)
+{
+    log_setup setup({}, short_timeout);
+    setup.put("/control/faults", R"({"silent":true})");
+    cr_assert(std::holds_alternative<append_ambiguous>(setup.append("a")));
+    cr_assert(std::holds_alternative<read_unavailable>(setup.start_read(1).get()));
+    setup.put("/control/faults", R"({"silent":false})");
+    cr_assert(setup.records(1).empty());
+}
+
+// Guards against a gap in the log that a reader does not notice.
+Test(log_client, expired_read)
+{
+    standins::platform_options options;
+    options.max_records = 2;
+    log_setup setup(options);
+    for (int n = 0; n < 5; ++n) {
+        setup.append("x");
+    }
+    const auto result = setup.start_read(1).get();
+    cr_assert(std::get<read_expired>(result).earliest == 4);
+    cr_assert(setup.records(4).size() == 2);
+}
+
+// Guards against waiting reads that block other requests or miss a record.
+Test(log_client, waiting_reads_do_not_block)
+{
+    log_setup setup;
+    std::vector<std::future<read_result>> waiting;
+    for (int n = 0; n < 20; ++n) {
+        waiting.push_back(setup.start_read(1, long_wait));
+    }
+    cr_assert(std::holds_alternative<append_done>(setup.append("x")));
+    for (auto& read : waiting) {
+        const auto result = read.get();
+        cr_assert(std::get<read_records>(result).records.size() == 1);
+    }
+}
+
+// Guards against instances that are dropped from the list or lose their leaving mark.
+Test(instance_list_client, follows_the_list)
+{
+    log_setup setup;
+    std::promise<std::vector<listed_instance>> received;
+    const instance_list_client list(setup.context,
+                                    {setup.platform.address(), std::chrono::milliseconds(10)},
+                                    [&, once = false](const auto& instances) mutable {
+                                        if (!instances.empty() && !std::exchange(once, true)) {
+                                            received.set_value(instances);
+                                        }
+                                    });
+    setup.put("/control/instances", R"({"instances":[
+        {"instance":"e1","role":"entry","data_centre":"d","address":"127.0.0.1:1","state":"live"},
+        {"instance":"a1","role":"agent","data_centre":"d","address":"127.0.0.1:2",
+         "state":"leaving"}]})");
+    const auto instances = received.get_future().get();
+    cr_assert(instances.size() == 2);
+    cr_assert(instances[0].role == instance_role::entry && !instances[0].leaving);
+    cr_assert(instances[1].role == instance_role::agent && instances[1].leaving);
+}
