--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -6,6 +6,7 @@
 
 #include <fmt/format.h>
 
+#include "base/duration_text.h"
 #include "base/identifiers.h"
 #include "controllers/agent_upstream_link.h"
 #include "controllers/config_exchange.h"
@@ -61,6 +62,14 @@
                     this->caller_server_->address(), this->operator_server_->address(),
                     this->peers_->address(), this->incarnation_);
     this->runtime_.wait(); // no callback runs while the parts go away
+    if (this->cut_off_ > 0) {
+        throw error(error_kind::unavailable,
+                    fmt::format("entry {} stopped after {} with {} requests that had not ended",
+                                this->settings_.instance.instance,
+                                format_duration(this->settings_.drain_timeout),
+                                this->cut_off_.load()),
+                    "Raise drain_timeout, or stop the callers of long requests first.");
+    }
     this->log_.info("Stopped.");
 }
 
@@ -270,9 +279,7 @@
     const auto requests = this->dispatcher_.open_requests();
     const bool idle = requests == 0 && this->caller_server_->open_connections() == 0;
     if (idle || this->clock_.now() >= limit) {
-        if (!idle) {
-            this->log_.warning("The drain timeout passed with {} requests running.", requests);
-        }
+        this->cut_off_ = requests;
         this->runtime_.stop();
         return;
     }
--- a/Source/commands/entry_process.h
+++ b/Source/commands/entry_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -38,6 +39,7 @@
     ~entry_process() = default;
 
     /// Serves until SIGTERM or SIGINT and until the running requests have ended.
+    /// @throws error of kind unavailable if requests were running at the end of the drain timeout
     void run();
 
 private:
@@ -63,6 +65,7 @@
     system_clock_source clock_;
     std::uint64_t incarnation_;
     std::atomic<bool> draining_ = false;
+    std::atomic<std::size_t> cut_off_ = 0; ///< requests that had not ended at the drain timeout
     std::atomic<std::int64_t> config_since_unix_ms_ = 0;
     transport::runtime runtime_;
     transport::log_client log_service_;
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -145,15 +145,25 @@
     if (std::ranges::none_of(candidates, has_room)) {
         return std::nullopt;
     }
-    for (auto item = this->queue_.pop(now); item.has_value(); item = this->queue_.pop(now)) {
-        auto request = this->find(item->id);
-        if (request == nullptr) {
-            continue;
+    auto request = this->pop(now);
+    if (request == nullptr) {
+        return std::nullopt;
+    }
+    const auto upstream = this->choose(*request, upstreams, std::move(candidates), now);
+    return assignment{std::move(request), upstream};
+}
+
+target_queue::request_pointer target_queue::pop(time_point now)
+{
+    while (true) {
+        const auto item = this->queue_.pop(now);
+        if (!item.has_value()) {
+            return nullptr;
+        }
+        if (auto request = this->find(item->id)) {
+            return request;
         }
-        const auto upstream = this->choose(*request, upstreams, candidates, now);
-        return assignment{std::move(request), upstream};
     }
-    return std::nullopt;
 }
 
 std::size_t target_queue::choose(const pending_request& request,
--- a/Source/controllers/target_queue.h
+++ b/Source/controllers/target_queue.h
@@ -91,7 +91,8 @@
     std::size_t choose(const pending_request& request,
                        const std::vector<dispatch_target>& upstreams, candidate_list candidates,
                        time_point now);
-    request_pointer find(std::uint64_t id) const;
+    request_pointer pop(time_point now);
+    [[nodiscard]] request_pointer find(std::uint64_t id) const;
 
     mutable std::mutex mutex_;
     policy::work_queue queue_;
