policy: Pack a layer again when the local search gets stuck

Cause: the search of expert_placement::improve changes one slot or one pair at a time and stops at a worst skew of 1.57 where several changes at once would help. Ruled out: a smaller minimum gain alone (0 instead of 0.0003 changed nothing). Change: if the search ends above a skew of 1.08 and packing from scratch is better by 0.02, the packed ranks are assigned to those that hold most of their experts.

--- a/Source/policy/expert_placement.cxx
+++ b/Source/policy/expert_placement.cxx
@@ -73,6 +73,50 @@
     return replicas;
 }
 
+std::span<const unsigned> experts_of(const layer_placement& placement, std::size_t rank)
+{
+    const auto per_rank = placement.shape.slots_per_rank;
+    return std::span(placement.expert_of_slot).subspan(rank * per_rank, per_rank);
+}
+
+std::ptrdiff_t count_common(std::span<const unsigned> left, std::span<const unsigned> right)
+{
+    return std::ranges::count_if(
+        left, [right](unsigned it) { return std::ranges::find(right, it) != right.end(); });
+}
+
+/// Exchanges whole ranks of a placement, so that ranks keep experts they hold already.
+layer_placement match_ranks(const layer_placement& current, const layer_placement& wanted)
+{
+    struct pairing {
+        std::ptrdiff_t common = 0;
+        std::size_t from = 0;
+        std::size_t to = 0;
+    };
+    const std::size_t ranks = current.shape.ranks;
+    std::vector<pairing> pairings;
+    for (std::size_t from = 0; from < ranks; ++from) {
+        for (std::size_t to = 0; to < ranks; ++to) {
+            pairings.push_back(
+                {count_common(experts_of(wanted, from), experts_of(current, to)), from, to});
+        }
+    }
+    std::ranges::stable_sort(pairings, std::greater{}, &pairing::common);
+    std::vector<bool> is_placed(ranks);
+    std::vector<bool> is_filled(ranks);
+    layer_placement result = current;
+    for (const auto& it : pairings) {
+        if (is_placed[it.from] || is_filled[it.to]) {
+            continue;
+        }
+        is_placed[it.from] = true;
+        is_filled[it.to] = true;
+        const auto target = static_cast<std::ptrdiff_t>(it.to * current.shape.slots_per_rank);
+        std::ranges::copy(experts_of(wanted, it.from), result.expert_of_slot.begin() + target);
+    }
+    return result;
+}
+
 /// Search state of one layer: the placement with its rank loads kept up to date.
 class layer_search {
 public:
@@ -281,10 +325,21 @@
     const auto skew_before = search.skew();
     while (search.skew() > limits.target_skew && search.improve_once(limits)) {
     }
-    return {.placement = search.placement(),
-            .loaded_experts = loaded_experts(current, search.placement()),
+    auto best = search.placement();
+    auto skew_after = search.skew();
+    if (skew_after > limits.repack_skew) {
+        auto repacked = match_ranks(current, repack(current.shape, loads));
+        const auto repacked_skew = skew(repacked, loads);
+        if (repacked_skew + limits.min_repack_gain < skew_after) {
+            best = std::move(repacked);
+            skew_after = repacked_skew;
+        }
+    }
+    const auto loaded = loaded_experts(current, best);
+    return {.placement = std::move(best),
+            .loaded_experts = loaded,
             .skew_before = skew_before,
-            .skew_after = search.skew()};
+            .skew_after = skew_after};
 }
 
 double expert_placement::skew(const layer_placement& placement, std::span<const double> loads)
@@ -296,14 +351,11 @@
 
 unsigned expert_placement::loaded_experts(const layer_placement& from, const layer_placement& to)
 {
-    const auto per_rank = from.shape.slots_per_rank;
     unsigned result = 0;
     for (unsigned rank = 0; rank < from.shape.ranks; ++rank) {
-        const auto held = std::span(from.expert_of_slot).subspan(rank * per_rank, per_rank);
-        const auto wanted = std::span(to.expert_of_slot).subspan(rank * per_rank, per_rank);
-        result += static_cast<unsigned>(std::ranges::count_if(wanted, [&](unsigned expert) {
-            return std::ranges::find(held, expert) == held.end();
-        }));
+        const auto wanted = experts_of(to, rank);
+        const auto kept = count_common(wanted, experts_of(from, rank));
+        result += static_cast<unsigned>(std::ssize(wanted) - kept);
     }
     return result;
 }
--- a/Source/policy/expert_placement.h
+++ b/Source/policy/expert_placement.h
@@ -33,6 +33,8 @@
 struct improvement_limits {
     double target_skew = 1.02;           ///< stop when the layer is this even
     double min_gain_per_expert = 0.0003; ///< fall of the skew that a loaded expert must bring
+    double repack_skew = 1.08;           ///< pack from scratch if the search ends above this
+    double min_repack_gain = 0.02;       ///< and packing from scratch is better by this
 };
 
 /// Places the experts of one layer on ranks and replicates the hot ones.
@@ -52,7 +54,8 @@
     static layer_placement repack(const placement_shape& shape, std::span<const double> loads);
 
     /// Improves a placement with few loaded experts: repeatedly replaces spare replicas or swaps
-    /// experts between the hottest rank and another.
+    /// experts between the hottest rank and another. If that ends in a poor placement, packs from
+    /// scratch and assigns the packed ranks to those that already hold most of their experts.
     /// @param current the placement in use
     /// @param loads load of each expert; size experts, not negative
     /// @param limits when to stop
