--- a/Source/policy/upstream_selector.h
+++ b/Source/policy/upstream_selector.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/prefix_index.h"
 
 namespace medlaryoke::policy {
 
@@ -28,11 +29,20 @@
     double cost = 1; ///< expected work, in tokens
 };
 
+struct selector_options {
+    prefix_index_options prefixes;
+    /// A warm upstream is preferred while its load is at most this many times the mean.
+    double load_bound = 1.25;
+    /// Latency above the median by this factor makes an upstream a straggler.
+    double straggler_factor = 1.5;
+};
+
 /// Chooses the upstream for a request. Not thread safe.
 class upstream_selector {
 public:
     /// @param seed seed of the random choices
-    explicit upstream_selector(std::uint64_t seed);
+    /// @param options how strongly to prefer warm caches and to avoid stragglers
+    explicit upstream_selector(std::uint64_t seed, selector_options options = {});
 
     /// Chooses an upstream that has room, preferring a warm prefix cache within bounded load.
     /// @param candidates the upstreams of the group
@@ -47,8 +57,27 @@
     /// @param prefix_hash the prefix
     void forget_prefix(std::uint64_t upstream, std::uint64_t prefix_hash);
 
+    /// Learns that an upstream cached a prefix for a request of another entry.
+    /// @param upstream id of the upstream
+    /// @param prefix_hash the prefix
+    void note_prefix(std::uint64_t upstream, std::uint64_t prefix_hash);
+
 private:
+    struct option {
+        std::size_t index = 0;
+        double score = 0; ///< expected wait, relative
+    };
+
+    [[nodiscard]] std::vector<option>
+    open_options(std::span<const upstream_candidate> candidates) const;
+    [[nodiscard]] std::optional<std::size_t>
+    choose_warm(std::span<const upstream_candidate> candidates, std::span<const option> open,
+                const request_features& request, time_point now) const;
+
+    selector_options options_;
     std::mt19937_64 random_;
+    prefix_index index_;
+    time_point last_choice_{}; ///< stands in for the time of cache events
 };
 
 } // namespace medlaryoke::policy
--- a/Source/policy/work_queue.cxx
+++ b/Source/policy/work_queue.cxx
@@ -39,7 +39,9 @@
     std::set<organisation_order> by_backlog; ///< with waiting requests, by queued cost over share
     std::set<organisation_order> idle;       ///< without waiting requests, by start tag
     double virtual_time = 0;
-    double floor_credit = 0; ///< cost owed to the floor; negative after an item that exceeded it
+    double queued_cost = 0;
+    double waiting_shares = 0; ///< of the organisations with waiting requests
+    double floor_credit = 0;   ///< cost owed to the floor; negative after an item that exceeded it
     std::size_t size = 0;
 };
 
@@ -62,6 +64,8 @@
     }
     group.by_start.erase({queue.start_tag, &queue});
     group.by_backlog.erase({backlog_of(queue), &queue});
+    group.waiting_shares -= queue.share;
+    group.queued_cost -= queue.queued_cost;
 }
 
 void link(priority_class& group, organisation_queue& queue)
@@ -73,6 +77,8 @@
     }
     group.by_start.insert({queue.start_tag, &queue});
     group.by_backlog.insert({backlog_of(queue), &queue});
+    group.waiting_shares += queue.share;
+    group.queued_cost += queue.queued_cost;
 }
 
 organisation_queue& find_or_add(priority_class& group, const std::string& name)
@@ -201,6 +207,36 @@
         this->options_.priorities = std::move(priorities);
     }
 
+    double cost_ahead(unsigned priority, const std::string& organisation, double share) const
+    {
+        const auto found = this->classes_.find(priority);
+        if (found == this->classes_.end() || found->second.size == 0) {
+            return 0;
+        }
+        const auto& group = found->second;
+        double own = 0;
+        double start = group.virtual_time;
+        auto shares = group.waiting_shares;
+        const auto it = group.organisations.find(organisation);
+        if (it != group.organisations.end()) {
+            own = it->second.queued_cost;
+            start = std::max(start, it->second.start_tag);
+            shares -= it->second.items.empty() ? 0 : it->second.share;
+        }
+        // Until its turn comes the others are served at their shares, if they have that much.
+        const auto lead = start - group.virtual_time + own / share;
+        return own + std::min(lead * shares, group.queued_cost - own);
+    }
+
+    double more_urgent_cost(unsigned priority) const
+    {
+        double sum = 0;
+        for (const auto& [order, group] : this->classes_) {
+            sum += order < priority ? group.queued_cost : 0;
+        }
+        return sum;
+    }
+
     std::size_t size() const { return this->positions_.size(); }
 
 private:
@@ -223,6 +259,8 @@
         }
         if (group.size == 0) {
             group.floor_credit = std::min(group.floor_credit, 0.0);
+            group.queued_cost = 0;
+            group.waiting_shares = 0;
         }
         return item;
     }
--- a/Source/policy/work_queue.h
+++ b/Source/policy/work_queue.h
@@ -15,7 +15,7 @@
 struct work_item {
     std::uint64_t id = 0;  ///< unique within the queue
     unsigned priority = 0; ///< order of the priority; 0 is the most urgent
-    std::string organisation;
+    std::string organisation{};
     double share = 1;      ///< weight of the organisation; positive
     double cost = 1;       ///< expected work, in tokens; positive
     time_point deadline{}; ///< after this an answer is worthless; the epoch means none
@@ -80,6 +80,18 @@
     /// @param priorities the new rules
     void set_priorities(std::vector<priority_rule> priorities);
 
+    /// Estimates the work that is served before a new request, for admission.
+    /// @param priority order of the priority
+    /// @param organisation the organisation of the request
+    /// @param share weight of the organisation
+    /// @return tokens of the same priority, given the shares of the organisations that wait
+    [[nodiscard]] double cost_ahead(unsigned priority, const std::string& organisation,
+                                    double share) const;
+
+    /// @param priority order of a priority
+    /// @return tokens waiting in more urgent priorities
+    [[nodiscard]] double more_urgent_cost(unsigned priority) const;
+
     /// @return number of waiting requests
     [[nodiscard]] std::size_t size() const;
 
--- a/Tests/policy/test_work_queue.cxx
+++ b/Tests/policy/test_work_queue.cxx
@@ -212,6 +212,11 @@
     return ids;
 }
 
+work_item pop(work_queue& queue, time_point now = time_point{1s})
+{
+    return queue.pop(now).value_or(work_item{});
+}
+
 void compare_with_naive(std::uint64_t seed)
 {
     std::mt19937_64 random(seed);
@@ -244,8 +249,7 @@
         }
         case 3:
         case 4: {
-            const auto item = queue.pop(now);
-            cr_assert((item ? item->id : 0) == naive.pop(now), "seed %lu step %d", seed, i);
+            cr_assert(pop(queue, now).id == naive.pop(now), "seed %lu step %d", seed, i);
             break;
         }
         default: {
@@ -293,9 +297,9 @@
         queue.push({.id = ++id, .priority = 1, .organisation = "n", .cost = 5}, time_point{1s});
     }
     for (int i = 0; i < 2'000; ++i) {
-        const auto item = queue.pop(time_point{1s});
-        served[item->priority] += item->cost;
-        total += item->cost;
+        const auto item = pop(queue);
+        served[item.priority] += item.cost;
+        total += item.cost;
         cr_assert(served[2] >= 0.1 * total - 7, "batch below its floor after %d", i);
         cr_assert(served[1] >= 0.2 * total - 7, "normal below its floor after %d", i);
     }
@@ -316,8 +320,8 @@
     }
     std::map<std::string, double> served;
     for (int i = 0; i < 1'000; ++i) {
-        const auto item = queue.pop(time_point{1s});
-        served[item->organisation] += item->cost;
+        const auto item = pop(queue);
+        served[item.organisation] += item.cost;
     }
     cr_assert(served["small"] == 10, "a small caller waits behind large ones");
     cr_assert(served["double"] > 1.95 * served["large"]);
@@ -334,7 +338,7 @@
     }
     queue.charge(0, "a", 10, 1);
     for (int i = 0; i < 10; ++i) {
-        cr_assert(queue.pop(time_point{1s})->organisation == "b");
+        cr_assert(pop(queue).organisation == "b");
     }
 }
 
@@ -353,8 +357,8 @@
         queue.push({.id = ++id, .priority = 0, .organisation = "u"}, time_point{1s});
     }
     std::map<unsigned, int> waiting;
-    while (const auto item = queue.pop(time_point{1s})) {
-        ++waiting[item->priority];
+    while (queue.size() > 0) {
+        ++waiting[pop(queue).priority];
     }
     cr_assert(waiting[2] == 10 && waiting[0] == 90, "%d batch, %d urgent", waiting[2], waiting[0]);
 }
@@ -365,7 +369,7 @@
     work_queue queue({.priorities = three_priorities});
     queue.push({.id = 1, .organisation = "a", .deadline = time_point{2s}}, time_point{1s});
     queue.push({.id = 2, .organisation = "a", .deadline = time_point{9s}}, time_point{1s});
-    cr_assert(queue.pop(time_point{2s})->id == 2);
+    cr_assert(pop(queue, time_point{2s}).id == 2);
     cr_assert(queue.size() == 0);
     cr_assert(ids_of(queue.expire(time_point{2s})) == std::vector<std::uint64_t>{1});
     cr_assert(queue.expire(time_point{3s}).empty());
@@ -378,6 +382,6 @@
     queue.push({.id = 1, .priority = 2, .organisation = "a"}, time_point{1s});
     queue.set_priorities({{.order = 0, .floor = 0.9}, {.order = 1, .floor = 0.9}});
     queue.push({.id = 2, .priority = 0, .organisation = "a"}, time_point{1s});
-    cr_assert(queue.pop(time_point{1s})->id == 2);
-    cr_assert(queue.pop(time_point{1s})->id == 1);
+    cr_assert(pop(queue).id == 2);
+    cr_assert(pop(queue).id == 1);
 }
