config: Read settings and resources strictly

Settings and resources come from files and requests written by hand, and a mistake that is accepted with a guessed meaning shows up only under load.

Each structure has one function that names its keys with type and range; visitors read it from YAML or JSON, write it as JSON and describe it. The manual pages are compared with the descriptions by a test. Samples of both deployments are loaded by a test.

Checked by hand: with the unknown-key check switched off, refuses_each_kind_of_mistake fails.

--- a/Source/model/process_settings.h
+++ b/Source/model/process_settings.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/field_descriptions.h"
 #include "base/logging.h"
 
 namespace medlaryoke::model {
@@ -74,4 +75,16 @@
 /// @throws error of kind invalid_argument that names file, line, value and remedy
 agent_settings load_agent_settings(const std::string& path);
 
+/// Reads settings from text, checked in the same way.
+/// @param text the content of the YAML file
+/// @param source name of the file, for errors
+/// @return the settings
+/// @throws error of kind invalid_argument that names file, line, value and remedy
+entry_settings parse_entry_settings(const std::string& text, const std::string& source);
+agent_settings parse_agent_settings(const std::string& text, const std::string& source);
+
+/// @return each key of an entry's or an agent's settings, for the manual
+std::vector<field_description> entry_setting_keys();
+std::vector<field_description> agent_setting_keys();
+
 } // namespace medlaryoke::model
--- /dev/null
+++ b/Source/model/resource_check.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+#include "model/resource.h"
+
+namespace medlaryoke::model {
+
+/// One reason why a set of resources is not consistent.
+struct resource_problem {
+    std::size_t index = 0; ///< position in the list that was checked
+    std::string message;   ///< names kind, name, field and value
+    std::string remedy;
+};
+
+/// Checks a whole configuration: names are unique, references exist, orders, credentials and
+/// agent addresses are unique, ranks lie within their group, and the floors of all priorities
+/// sum to less than 1.
+/// @param resources the configuration; no pointer is null
+/// @return the problems found, in a fixed order; empty if the configuration is consistent
+std::vector<resource_problem> check_resources(const std::vector<const resource*>& resources);
+
+} // namespace medlaryoke::model
--- /dev/null
+++ b/Source/model/resource_fields.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "base/field_visitor.h"
+#include "model/resource.h"
+
+namespace medlaryoke::model {
+
+/// Visits every key of a specification.
+/// @param visitor reads, writes or describes the fields
+/// @param spec the specification; its alternative decides the kind
+void visit_spec(field_visitor& visitor, resource_spec& spec);
+
+} // namespace medlaryoke::model
