--- a/Tests/fakes/tcp_proxy.h
+++ b/Tests/fakes/tcp_proxy.h
@@ -32,9 +32,9 @@
 
 private:
     struct relay {
-        int caller;
-        int server;
-        unsigned number; ///< from 1
+        int caller = -1;
+        int server = -1;
+        unsigned number = 0; ///< from 1
         bool ended = false;
     };
 
--- a/Tests/transport/test_http_server.cxx
+++ b/Tests/transport/test_http_server.cxx
@@ -146,7 +146,9 @@
                                   std::string(0x1771, 'b') + "\r\n0\r\n\r\n"),
         413, "too_large", "not-run");
     // The client is still sending when the refusal comes.
-    const auto got = reply(pair.client, {"POST", "/", {}, std::string(20'000'000, 'b')});
+    std::string huge;
+    huge.resize(20'000'000, 'b');
+    const auto got = reply(pair.client, {"POST", "/", {}, huge});
     cr_assert(got.head.status == 413);
     cr_assert(reply(pair.client, {"POST", "/", {}, std::string(5000, 'b')}).head.status == 200);
 }
--- a/Tests/transport/test_log_client.cxx
+++ b/Tests/transport/test_log_client.cxx
@@ -146,9 +146,9 @@
 Test(log_client, waiting_reads_do_not_block)
 {
     log_setup setup;
-    std::vector<std::future<read_result>> waiting;
-    for (int n = 0; n < 20; ++n) {
-        waiting.push_back(setup.start_read(1, long_wait));
+    std::vector<std::future<read_result>> waiting(20);
+    for (auto& read : waiting) {
+        read = setup.start_read(1, long_wait);
     }
     cr_assert(std::holds_alternative<append_done>(setup.append("x")));
     for (auto& read : waiting) {
