config: Shorten the settings tests for the linter

The optional-access check of clang-tidy ran for more than 9 minutes on test_settings.cxx, which held an optional error in a loop over many strings. error_of returns the message instead; the assertions are the same.

--- a/Tests/model/test_settings.cxx
+++ b/Tests/model/test_settings.cxx
@@ -2,7 +2,6 @@
 #include <array>
 #include <filesystem>
 #include <functional>
-#include <optional>
 #include <random>
 #include <sstream>
 #include <string>
@@ -54,17 +53,18 @@
                                   "  repeatable: [GET /, POST /find]\n"
                                   "  checks_fences: true\n";
 
-/// Runs a reader on text and returns its error; typed errors only.
-std::optional<error> error_of(const std::function<void(const std::string&)>& read,
-                              const std::string& text)
+/// Runs a reader on text. Any exception but a typed error ends the test.
+/// @return the message of the error; empty if the text was accepted
+std::string error_of(const std::function<void(const std::string&)>& read, const std::string& text)
 {
     try {
         read(text);
     }
     catch (const error& e) {
-        return e;
+        cr_assert(e.kind() == error_kind::invalid_argument && !e.remedy().empty());
+        return e.what();
     }
-    return std::nullopt;
+    return "";
 }
 
 void read_agent(const std::string& text)
@@ -188,10 +188,8 @@
         {"agent:\n", "agent: {\n", "agent.yaml:", ""},
     };
     for (const auto& it : mistakes) {
-        const auto found = error_of(read_agent, replaced(agent_text, it.from, it.to));
-        cr_assert(found.has_value(), "accepted %s", it.to.c_str());
-        cr_assert(found->kind() == error_kind::invalid_argument && !found->remedy().empty());
-        const std::string message = found->what();
+        const auto message = error_of(read_agent, replaced(agent_text, it.from, it.to));
+        cr_assert(!message.empty(), "accepted %s", it.to.c_str());
         cr_assert(message.starts_with(it.place) && message.find(it.value) != std::string::npos,
                   "%s", message.c_str());
     }
@@ -252,14 +250,14 @@
     const std::string good =
         R"({"order":1,"first_token_target":"1s","token_interval_target":"9ms","floor":0.1})";
     const auto read = [](const std::string& text) { model::parse_spec("priority", text, "body"); };
-    cr_assert(!error_of(read, good));
-    cr_assert(error_of(read, replaced(good, ":1,", ":\"1\",")).has_value());
-    cr_assert(error_of(read, replaced(good, "\"1s\"", "1")).has_value());
-    cr_assert(error_of(read, replaced(good, "0.1", "true")).has_value());
-    cr_assert(error_of(read, replaced(good, "0.1", "1")).has_value());
-    cr_assert(error_of(read, replaced(good, "floor", "flor")).has_value());
-    cr_assert(error_of(read, good.substr(1)).has_value());
-    cr_assert(error_of(read, "[]").has_value());
+    cr_assert(error_of(read, good).empty());
+    cr_assert(!error_of(read, replaced(good, ":1,", ":\"1\",")).empty());
+    cr_assert(!error_of(read, replaced(good, "\"1s\"", "1")).empty());
+    cr_assert(!error_of(read, replaced(good, "0.1", "true")).empty());
+    cr_assert(!error_of(read, replaced(good, "0.1", "1")).empty());
+    cr_assert(!error_of(read, replaced(good, "floor", "flor")).empty());
+    cr_assert(!error_of(read, good.substr(1)).empty());
+    cr_assert(!error_of(read, "[]").empty());
 }
 
 // Guards against an inconsistent configuration being accepted.
