config: Fold the configuration in the same way everywhere

Every process folds the stream config by itself, so the fold must give the same state for the same records, whoever starts where.

--- a/Source/controllers/config_store.h
+++ b/Source/controllers/config_store.h
@@ -5,11 +5,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "model/resource.h"
 #include "model/wire.pb.h"
+#include "policy/config_ledger.h"
 
 namespace medlaryoke::controllers {
 
@@ -29,6 +31,13 @@
     std::map<std::string, versioned<model::caller_spec>> callers;
 };
 
+/// What a new reader of the stream would have to fold, as far as this process has seen it.
+struct snapshot_need {
+    std::uint64_t covered_upto = 0; ///< end of the newest complete snapshot; 0 if none was seen
+    std::uint64_t first_needed = 1; ///< oldest record that a new reader needs
+    std::size_t changes_since = 0;  ///< changes after that snapshot
+};
+
 /// Holds the configuration of this process and folds records into it. The offset never
 /// decreases. Thread safe.
 class config_store {
@@ -53,7 +62,22 @@
     /// @return records, or a snapshot if the records are no longer held
     [[nodiscard]] wire::config_records records_from(std::uint64_t from_offset) const;
 
-    /// @param fn called after each change with the new configuration, outside any lock
+    /// @param operation_id an operation
+    /// @return how its change ended; empty if it was not folded or is no longer remembered
+    [[nodiscard]] std::optional<policy::change_outcome>
+    outcome_of(const std::string& operation_id) const;
+
+    /// @param change a change
+    /// @return its outcome if it were the next record
+    [[nodiscard]] policy::change_outcome evaluate(const policy::config_change& change) const;
+
+    /// @return the whole state, for snapshots
+    [[nodiscard]] policy::config_ledger ledger() const;
+
+    /// @return how much the stream needs a snapshot
+    [[nodiscard]] snapshot_need need_of_snapshot() const;
+
+    /// @param fn called after each fold with the new configuration, in order, outside any lock
     void subscribe(std::function<void(const std::shared_ptr<const config_view>&)> fn);
 
     class implementation;
--- /dev/null
+++ b/Tests/controllers/test_config_store.cxx
@@ -0,0 +1,95 @@
+#include "controllers/config_store.h"
+
+#include <algorithm>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+
+#include "policy/config_ledger.h"
+
+using namespace medlaryoke;
+using controllers::config_store;
+
+namespace {
+
+wire::config_records make_records(std::uint64_t first, std::uint64_t last)
+{
+    wire::config_records records;
+    records.set_from_offset(first);
+    for (auto offset = first; offset <= last; ++offset) {
+        auto* record = records.add_records();
+        record->set_offset(offset);
+        record->set_data(policy::encode_record(policy::config_change{
+            fmt::format("op-{}", offset),
+            "anna",
+            {{{"model_group", fmt::format("g{}", offset)}, 0, R"({"model":"m"})"}}}));
+    }
+    return records;
+}
+
+} // namespace
+
+// Guards against a configuration that goes back, or that skips a record (P7).
+Test(config_store, offset_never_decreases_and_leaves_no_gap)
+{
+    config_store store;
+    config_store old;
+    old.fold(make_records(1, 2));
+    cr_assert(store.fold(make_records(1, 5)));
+    cr_assert(!store.fold(make_records(2, 4)));
+    cr_assert(!store.fold(make_records(8, 9)));
+    wire::config_records older;
+    older.set_snapshot(old.ledger().to_snapshot());
+    older.set_snapshot_offset(2);
+    cr_assert(!store.fold(older));
+    older.set_snapshot_offset(99);
+    cr_assert(!store.fold(older), "the offset inside the snapshot counts");
+    older.set_snapshot("damaged");
+    cr_assert(!store.fold(older));
+    cr_assert(store.view()->offset == 5 && store.view()->model_groups.size() == 5);
+}
+
+// Guards against a peer that is left with a different configuration, both when the records are
+// still held and when only the folded state is.
+Test(config_store, peers_catch_up)
+{
+    config_store store;
+    store.fold(make_records(1, 1500));
+    for (const std::uint64_t known : {0, 10, 1400, 1500}) {
+        config_store peer;
+        peer.fold(make_records(1, known));
+        const auto update = store.records_from(known + 1);
+        cr_assert(update.snapshot().empty() == (known >= 1400));
+        peer.fold(update);
+        cr_assert(peer.view()->offset == 1500);
+        cr_assert(peer.ledger().to_snapshot() == store.ledger().to_snapshot());
+    }
+}
+
+// Guards against subscribers that see offsets out of order when threads fold at once, and against
+// a deadlock when a subscriber folds.
+Test(config_store, subscribers_see_each_view_in_order)
+{
+    config_store store;
+    std::vector<std::uint64_t> seen;
+    store.subscribe([&](const auto& view) {
+        seen.push_back(view->offset);
+        if (view->offset == 400) {
+            store.fold(make_records(401, 401));
+        }
+    });
+    const auto fold_all = [&store] {
+        for (std::uint64_t offset = 1; offset <= 400; ++offset) {
+            store.fold(make_records(offset, offset));
+        }
+    };
+    std::thread other(fold_all);
+    fold_all();
+    other.join();
+    store.fold(make_records(401, 401));
+    cr_assert(seen.size() == 401);
+    cr_assert(std::ranges::is_sorted(seen));
+}
