--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -6,6 +6,8 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "commands/agent_command.h"
+#include "commands/entry_command.h"
 #include "commands/status_command.h"
 
 namespace medlaryoke::commands {
@@ -22,6 +24,8 @@
     CLI::App app{"Load balancer for expert-parallel model groups", "medlaryoke"};
     app.set_version_flag("--version", "0.1.0");
     app.require_subcommand(0, 1);
+    agent_command::add_to(app);
+    entry_command::add_to(app);
     status_command::add_to(app);
     try {
         app.parse(argc, argv);
--- a/Source/controllers/request_statistics.cxx
+++ b/Source/controllers/request_statistics.cxx
@@ -79,12 +79,22 @@
     text += fmt::format("{}_count{{{}}} {}\n", name, labels, acc::count(values));
 }
 
+/// Refusals that no service level covers, such as a key that was used for another request.
+bool is_fault_of_caller(const request_record& record)
+{
+    return record.result == outcome::not_run &&
+           (record.kind == error_kind::conflict || record.kind == error_kind::invalid_argument);
+}
+
 void count_sample(request_sample& sample, const request_record& record)
 {
     if (record.cancelled) {
         ++sample.cancelled;
         return;
     }
+    if (is_fault_of_caller(record)) {
+        return;
+    }
     ++sample.total;
     if (record.within_target) {
         ++sample.within_target;
--- /dev/null
+++ b/Tests/Session/session_site.cxx
@@ -0,0 +1,229 @@
+#include "Session/session_site.h"
+
+#include <algorithm>
+#include <chrono>
+#include <future>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+#include <variant>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/digest.h"
+
+namespace medlaryoke::session {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr int max_polls = 1500;
+constexpr auto poll_interval = 20ms;
+constexpr const char* credential = "sample-shop";
+
+std::string make_header(const std::string& name, const std::string& log)
+{
+    return fmt::format("instance:\n  name: {}\n  data_centre: oslo-1\nplatform:\n  log: {}\n"
+                       "  request_timeout: 500ms\n",
+                       name, log);
+}
+
+json make_priority(unsigned order, const std::string& target, double floor)
+{
+    return {{"order", order},
+            {"first_token_target", target},
+            {"token_interval_target", "1s"},
+            {"worth", 1},
+            {"floor", floor}};
+}
+
+} // namespace
+
+session_site::session_site() : platform_(this->context_, {})
+{
+    this->context_.start();
+    for (int n = 1; n <= 2; ++n) {
+        standins::engine_options engine;
+        engine.step_time = 2ms;
+        this->engines_.push_back(
+            std::make_unique<standins::engine_standin>(this->context_, engine));
+        this->agents_.push_back(this->start_agent(fmt::format("engine-{}", n), "assistant",
+                                                  "engine", this->engines_.back()->address()));
+    }
+    for (int n = 1; n <= 2; ++n) {
+        this->services_.push_back(std::make_unique<standins::service_standin>(
+            this->context_, standins::service_options{}));
+        this->agents_.push_back(this->start_agent(fmt::format("desk-{}", n), "desk", "service",
+                                                  this->services_.back()->address()));
+    }
+    this->entries_.push_back(this->start_entry("entry-1", ""));
+    this->entries_.push_back(this->start_entry("entry-2", this->entries_[0].peers));
+}
+
+session_site::~session_site()
+{
+    this->entries_.clear();
+    this->agents_.clear();
+    this->context_.stop();
+    this->context_.wait();
+}
+
+void session_site::configure()
+{
+    const auto declare = [this](const std::string& kind, const std::string& name,
+                                const json& spec) {
+        const auto reply = this->put(kind, name, 0, spec);
+        if (reply.head.status >= 300) {
+            throw std::runtime_error(fmt::format("{} {}: {}", kind, name, reply.body));
+        }
+    };
+    declare("model_group", "assistant", {{"model", "boba-8b"}});
+    declare("priority", "urgent", make_priority(0, "10s", 0.5));
+    declare("priority", "batch", make_priority(2, "60s", 0.1));
+    for (const auto& it : this->agents_) {
+        json spec{{"type", it.type},
+                  {"serves", it.serves},
+                  {"agent", it.address},
+                  {"data_centre", "oslo-1"}};
+        if (it.type == "service") {
+            spec["repeatable"] = {"GET /stock"};
+        }
+        declare("upstream", it.upstream, spec);
+    }
+    declare("caller", "shop",
+            {{"organisation", "perlefjord"},
+             {"credential_sha256", sha256_hex(credential)},
+             {"share", 1},
+             {"priorities", {"urgent", "batch"}}});
+    const bool ready = eventually([this] {
+        return std::ranges::all_of(this->entries_,
+                                   [this](const auto& it) { return this->is_connected(it); });
+    });
+    if (!ready) {
+        throw std::runtime_error("the site did not connect: " +
+                                 this->status(this->entries_[0]).dump());
+    }
+}
+
+bool session_site::is_connected(const entry_node& entry)
+{
+    const auto state = this->status(entry);
+    const auto& links = state["links"];
+    const auto offset = state["config"]["offset"];
+    return links.size() == this->agents_.size() &&
+           std::ranges::all_of(links,
+                               [](const json& it) {
+                                   return it["state"] == "connected" && it["upstream_up"] == true;
+                               }) &&
+           state["peers"].size() + 1 == this->entries_.size() &&
+           state["config"]["confirmed_offset"] == offset &&
+           offset == this->status(this->entries_[0])["config"]["offset"];
+}
+
+http_response session_site::send(const std::string& address, const std::string& method,
+                                 const std::string& target, std::vector<http_header> headers,
+                                 std::string body)
+{
+    using reply = std::variant<http_response, transport::http_failure>;
+    transport::http_client client(this->context_, address, 0);
+    const auto promise = std::make_shared<std::promise<reply>>();
+    auto answer = promise->get_future();
+    client.fetch({method, target, std::move(headers), std::move(body)}, {},
+                 [promise](reply it) { promise->set_value(std::move(it)); });
+    auto result = answer.get();
+    if (auto* const failure = std::get_if<transport::http_failure>(&result)) {
+        return {{0, {}}, failure->message};
+    }
+    return std::get<http_response>(std::move(result));
+}
+
+http_response session_site::call(const entry_node& entry, const std::string& method,
+                                 const std::string& target, std::vector<http_header> headers,
+                                 std::string body)
+{
+    headers.push_back({"Authorization", std::string("Bearer ") + credential});
+    return this->send(entry.callers, method, target, std::move(headers), std::move(body));
+}
+
+http_response session_site::put(const std::string& kind, const std::string& name,
+                                std::uint64_t version, const json& spec)
+{
+    return this->send(this->entries_[0].operators, "PUT", "/v1/resources/" + kind + "/" + name,
+                      {{"If-Match", std::to_string(version)}}, spec.dump());
+}
+
+json session_site::status(const entry_node& entry)
+{
+    const auto reply = this->send(entry.operators, "GET", "/v1/status");
+    return json::parse(reply.body);
+}
+
+std::uint64_t session_site::runs(const std::string& key)
+{
+    std::uint64_t count = 0;
+    for (const auto& it : this->services_) {
+        const auto reply = json::parse(this->send(it->address(), "GET", "/control/runs").body);
+        const auto& runs = reply.contains("runs") ? reply["runs"] : reply;
+        count += runs.value(key, std::uint64_t{0});
+    }
+    return count;
+}
+
+void session_site::restart(agent_node& agent)
+{
+    agent.process = this->run_agent(agent);
+    static_cast<void>(agent.process->wait_for_addresses());
+}
+
+bool session_site::eventually(const std::function<bool()>& condition)
+{
+    for (int n = 0; n < max_polls; ++n) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+}
+
+agent_node session_site::start_agent(const std::string& upstream, const std::string& serves,
+                                     const std::string& type, const std::string& upstream_address)
+{
+    agent_node node{nullptr, upstream, serves, type, upstream_address, "127.0.0.1:0"};
+    node.process = this->run_agent(node);
+    // The log line names the upstream, the listener for entries and that for operators.
+    node.address = node.process->wait_for_addresses().at(1);
+    return node;
+}
+
+std::unique_ptr<product_process> session_site::run_agent(const agent_node& agent) const
+{
+    const auto settings = make_header("agent-" + agent.upstream, this->platform_.address()) +
+                          fmt::format("agent:\n  upstream: {}\n  serves: {}\n  upstream_type: {}\n"
+                                      "  upstream_address: {}\n  listen_address: {}\n"
+                                      "  operator_address: 127.0.0.1:0\n",
+                                      agent.upstream, agent.serves, agent.type,
+                                      agent.upstream_address, agent.address);
+    return std::make_unique<product_process>("agent", settings);
+}
+
+entry_node session_site::start_entry(const std::string& name, const std::string& peer)
+{
+    auto settings = make_header(name, this->platform_.address()) +
+                    "entry:\n  caller_address: 127.0.0.1:0\n  operator_address: 127.0.0.1:0\n"
+                    "  peer_address: 127.0.0.1:0\n  address_lifetime: 100ms\n";
+    if (!peer.empty()) {
+        settings += fmt::format("  peers: ['{}']\n", peer);
+    }
+    entry_node node{std::make_unique<product_process>("entry", settings), "", "", ""};
+    const auto addresses = node.process->wait_for_addresses();
+    node.callers = addresses.at(0);
+    node.operators = addresses.at(1);
+    node.peers = addresses.at(2);
+    return node;
+}
+
+} // namespace medlaryoke::session
--- /dev/null
+++ b/Tests/Session/test_failures.cxx
@@ -0,0 +1,146 @@
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "Session/session_site.h"
+
+using namespace medlaryoke;
+using nlohmann::json;
+using session::http_response;
+using session::session_site;
+
+namespace {
+
+constexpr int caller_count = 6;
+
+/// How each call ended, by its key.
+struct load_result {
+    std::map<std::string, std::string> orders; ///< `answered`, `not-run`, `unknown` or `broken`
+    std::map<std::string, int> completions;    ///< how many ended in each way
+};
+
+/// Callers that send orders and completions to both entries until they are told to stop.
+class running_load {
+public:
+    explicit running_load(session_site& site) : site_(site)
+    {
+        for (int n = 0; n < caller_count; ++n) {
+            this->threads_.emplace_back([this, n] { this->run(n); });
+        }
+    }
+
+    /// Waits until a number of further orders have ended.
+    void wait_for_orders(std::size_t count)
+    {
+        const auto goal = this->ended_ + count;
+        cr_assert(session_site::eventually([this, goal] { return this->ended_ >= goal; }),
+                  "the load stands still");
+    }
+
+    load_result stop()
+    {
+        this->stopping_ = true;
+        for (auto& it : this->threads_) {
+            it.join();
+        }
+        return std::move(this->result_);
+    }
+
+private:
+    void run(int caller)
+    {
+        for (int n = 0; !this->stopping_; ++n) {
+            const auto& entry = this->site_.entries()[(caller + n) % 2];
+            const auto key = fmt::format("order-{}-{}", caller, n);
+            const auto order = this->site_.call(entry, "POST", "/v1/services/desk/reorder",
+                                                {{"Idempotency-Key", key}}, "{\"count\":1}");
+            const auto chat = this->site_.call(
+                entry, "POST", "/v1/chat/completions", {{"Medlaryoke-Timeout", "5000"}},
+                R"({"model":"boba-8b","max_tokens":3,"messages":[{"role":"user","content":"Hi"}]})");
+            const std::scoped_lock lock(this->mutex_);
+            this->result_.orders[key] = outcome_of(order);
+            ++this->result_.completions[outcome_of(chat)];
+            ++this->ended_;
+        }
+    }
+
+    static std::string outcome_of(const http_response& reply)
+    {
+        const auto value = transport::find_header(reply.head.headers, "Medlaryoke-Outcome");
+        return value.empty() ? "broken" : std::string(value);
+    }
+
+    session_site& site_;
+    std::atomic<bool> stopping_ = false;
+    std::atomic<std::size_t> ended_ = 0;
+    std::mutex mutex_;
+    load_result result_;
+    std::vector<std::thread> threads_;
+};
+
+/// Checks what callers were told against what the services ran.
+void check_orders(session_site& site, const load_result& result)
+{
+    for (const auto& [key, outcome] : result.orders) {
+        const auto runs = site.runs(key);
+        cr_assert(runs <= 1, "%s ran %d times", key.c_str(), static_cast<int>(runs));
+        if (outcome == "answered") {
+            cr_assert(runs == 1, "%s was answered but did not run", key.c_str());
+        }
+        if (outcome == "not-run") {
+            cr_assert(runs == 0, "%s ran but was reported as not run", key.c_str());
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a killed agent that makes a request run twice (P4), a wrong promise that one was
+// not run (P3), or idempotent work that is lost although another agent could do it.
+Test(failures, killed_agent_under_load)
+{
+    session_site site;
+    site.configure();
+    running_load load(site);
+    load.wait_for_orders(50);
+    for (const std::size_t victim : {3U, 1U}) {
+        site.agents()[victim].process->signal(SIGKILL);
+        site.agents()[victim].process->wait();
+        load.wait_for_orders(50);
+        site.restart(site.agents()[victim]);
+        load.wait_for_orders(50);
+    }
+    auto result = load.stop();
+    check_orders(site, result);
+    cr_assert(result.completions["unknown"] == 0 && result.completions["broken"] == 0);
+}
+
+// Guards against a killed entry that makes a request run twice, or that stops the other entry.
+Test(failures, killed_entry_under_load)
+{
+    session_site site;
+    site.configure();
+    running_load load(site);
+    load.wait_for_orders(50);
+    site.entries()[1].process->signal(SIGKILL);
+    site.entries()[1].process->wait();
+    load.wait_for_orders(100);
+    const auto result = load.stop();
+    check_orders(site, result);
+    const auto broken = std::ranges::count(result.orders, std::string("broken"),
+                                           [](const auto& it) { return it.second; });
+    cr_assert(static_cast<std::size_t>(broken) < result.orders.size());
+    cr_assert(session_site::eventually([&] {
+        const auto reply = site.send(site.entries()[0].callers, "GET", "/v1/entries");
+        return json::parse(reply.body)["entries"].size() == 1;
+    }));
+}
--- /dev/null
+++ b/Tests/Session/test_session.cxx
@@ -0,0 +1,206 @@
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <regex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "fakes/raw_socket.h"
+#include "Session/session_site.h"
+
+using namespace medlaryoke;
+using nlohmann::json;
+using session::http_header;
+using session::http_response;
+using session::session_site;
+
+namespace {
+
+const std::string chat_path = "/v1/chat/completions";
+
+std::string make_chat(const std::string& content, bool stream = false, unsigned tokens = 4)
+{
+    return json{{"model", "boba-8b"},
+                {"stream", stream},
+                {"max_tokens", tokens},
+                {"messages", {{{"role", "user"}, {"content", content}}}}}
+        .dump();
+}
+
+/// Replaces what differs from run to run: ids, times, addresses and measured values.
+std::string normalise(std::string text)
+{
+    const std::vector<std::pair<std::regex, std::string>> rules{
+        {std::regex("req-[0-9a-f]{32}"), "req-<id>"},
+        {std::regex("chatcmpl-[0-9]+"), "chatcmpl-<number>"},
+        {std::regex("mk1-[0-9]+-[0-9a-f]{32}"), "mk1-<time>-<id>"},
+        {std::regex(R"re(("(agent_)?incarnation": ?)"[0-9a-f]{16}")re"), "$1<incarnation>"},
+        {std::regex(R"re(("[a-z_]*(unix_ms|silent_ms|first_token_us|created)": ?)[0-9]+)re"),
+         "$1<number>"},
+        {std::regex(R"(127\.0\.0\.1:[0-9]+)"), "<address>"}};
+    for (const auto& [pattern, replacement] : rules) {
+        text = std::regex_replace(text, pattern, replacement);
+    }
+    return text;
+}
+
+/// Writes a session as text.
+class transcript {
+public:
+    void add(const std::string& request, const http_response& reply)
+    {
+        this->text_ += fmt::format("> {}\n< {}", request, reply.head.status);
+        for (const auto* const name : {"Content-Type", "Medlaryoke-Outcome"}) {
+            const auto value = transport::find_header(reply.head.headers, name);
+            if (!value.empty()) {
+                this->text_ += fmt::format(" {}", value);
+            }
+        }
+        this->text_ += "\n" + reply.body;
+        this->text_ += reply.body.ends_with('\n') ? "\n" : "\n\n";
+    }
+
+    /// Compares with the golden file, or writes it if MEDLARYOKE_UPDATE_GOLDEN is set.
+    void check(const std::string& file) const
+    {
+        const auto path = std::string(MEDLARYOKE_GOLDEN_DIR) + "/" + file;
+        const auto actual = normalise(this->text_);
+        if (std::getenv("MEDLARYOKE_UPDATE_GOLDEN") != nullptr) {
+            std::ofstream(path) << actual;
+        }
+        std::ifstream in(path);
+        const std::string expected{std::istreambuf_iterator<char>(in), {}};
+        cr_assert(actual == expected, "the session differs from %s:\n%s", path.c_str(),
+                  actual.c_str());
+    }
+
+private:
+    std::string text_;
+};
+
+/// Sends requests to the first entry and keeps them in a transcript.
+struct scripted_session {
+    http_response call(const std::string& method, const std::string& target,
+                       const std::vector<http_header>& headers = {}, const std::string& body = {})
+    {
+        auto reply = this->site.call(this->site.entries()[0], method, target, headers, body);
+        std::string title = method + " " + target;
+        for (const auto& it : headers) {
+            title += fmt::format(" [{}: {}]", it.name, it.value);
+        }
+        this->log.add(body.empty() ? title : title + " " + body, reply);
+        return reply;
+    }
+
+    session_site site;
+    transcript log;
+};
+
+} // namespace
+
+// Guards against any visible change of a whole session: configuration, addresses, completions,
+// plain services, repeated keys, bad input and samples.
+Test(session, matches_the_golden_file)
+{
+    scripted_session s;
+    s.site.configure();
+    const auto& entry = s.site.entries()[0];
+    s.call("GET", "/v1/entries");
+    s.call("POST", "/v1/keys");
+    s.call("POST", chat_path, {}, make_chat("How much tapioca is left?"));
+    s.call("POST", chat_path, {{"Medlaryoke-Priority", "urgent"}},
+           make_chat("Summarise the reorder.", true));
+    s.call("GET", "/v1/services/desk/stock/tapioca");
+    const std::vector<http_header> key{{"Idempotency-Key", "order-7"}};
+    s.call("POST", "/v1/services/desk/reorder", key, R"({"item":"tapioca","count":40})");
+    s.call("POST", "/v1/services/desk/reorder", key, R"({"item":"tapioca","count":40})");
+    s.call("POST", "/v1/services/desk/reorder", key, R"({"item":"tapioca","count":99})");
+    cr_assert(s.site.runs("order-7") == 1);
+
+    s.call("POST", chat_path, {}, "{\"model\":");
+    s.call("POST", chat_path, {}, R"({"model":"unknown","messages":[{"role":"user"}]})");
+    s.call("POST", chat_path, {{"Medlaryoke-Priority", "normal"}}, make_chat("Hello"));
+    s.call("POST", chat_path, {{"Medlaryoke-Timeout", "soon"}}, make_chat("Hello"));
+    s.call("GET", "/v1/services/nothing/stock");
+    s.log.add("POST with a wrong credential",
+              s.site.send(entry.callers, "POST", chat_path, {{"Authorization", "Bearer wrong"}},
+                          make_chat("Hello")));
+    s.log.add("GET /readyz", s.site.send(entry.operators, "GET", "/readyz"));
+    s.log.add("GET /v1/samples", s.site.send(entry.operators, "GET", "/v1/samples"));
+    s.log.check("session.golden");
+}
+
+// Guards against bytes of a caller that stop an entry.
+Test(session, bad_bytes_do_not_stop_an_entry)
+{
+    session_site site;
+    site.configure();
+    const auto& entry = site.entries()[0];
+    for (const auto& bytes :
+         {std::string("\0\xff\x16\x03\x01 garbage\r\n\r\n", 20),
+          std::string("GET / HTTP/9.9\r\n\r\n"),
+          "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n",
+          std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"),
+          std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 10\r\n\r\n{")}) {
+        const fakes::raw_connection caller(entry.callers);
+        caller.send(bytes);
+    }
+    const fakes::raw_connection peer(entry.peers);
+    peer.send("not a ZeroMQ greeting at all, and longer than one\r\n\r\n");
+    const auto reply = site.call(entry, "POST", chat_path, {}, make_chat("Still there?"));
+    cr_assert(reply.head.status == 200, "%s", reply.body.c_str());
+}
+
+// Guards against a shutdown that cuts off a stream, takes new work, stays listed, or fails (P6).
+Test(session, drain_cuts_nothing_off)
+{
+    session_site site;
+    site.configure();
+    const auto& entry = site.entries()[0];
+    http_response stream;
+    std::thread caller([&] {
+        stream = site.call(entry, "POST", chat_path, {}, make_chat("A long story.", true, 500));
+    });
+    cr_assert(session_site::eventually([&] {
+        const auto queues = site.status(entry)["queues"];
+        return std::any_of(queues.begin(), queues.end(),
+                           [](const json& it) { return it["running"] == 1; });
+    }));
+    entry.process->signal(SIGTERM);
+    cr_assert(session_site::eventually([&] {
+        const auto reply = site.send(site.entries()[1].callers, "GET", "/v1/entries");
+        return json::parse(reply.body)["entries"].size() == 1;
+    }));
+    cr_assert(site.send(entry.operators, "GET", "/readyz").head.status == 503);
+    const auto late = site.call(entry, "POST", chat_path, {}, make_chat("Too late?"));
+    cr_assert(late.head.status == 0 || late.head.status == 503);
+    caller.join();
+    cr_assert(stream.body.find("\"outcome\":\"answered\"") != std::string::npos, "%s",
+              stream.body.c_str());
+    cr_assert(entry.process->wait() == 0, "%s", entry.process->log().c_str());
+}
+
+// Guards against new work for an upstream that its operator or its agent takes away (P5), and
+// against an agent that cuts off what runs (P6).
+Test(session, leaving_upstreams_get_no_new_work)
+{
+    session_site site;
+    site.configure();
+    auto& agent = site.agents()[0];
+    agent.process->signal(SIGTERM);
+    for (int n = 0; n < 50; ++n) {
+        const auto reply = site.call(site.entries()[0], "POST", chat_path, {},
+                                     make_chat("Question " + std::to_string(n)));
+        cr_assert(reply.head.status == 200, "%s", reply.body.c_str());
+    }
+    cr_assert(agent.process->wait() == 0, "%s", agent.process->log().c_str());
+}
