queue: Eject failing upstreams and refuse hopeless requests

An upstream that fails keeps attracting work because it answers fast, and a request that cannot be served before its deadline only lengthens the queue. The dispatcher now reports the result of each dispatch to the outlier detector, probes ejected upstreams with requests that may be repeated, and asks the admission control before it queues a request.

--- a/Source/controllers/pending_request.cxx
+++ b/Source/controllers/pending_request.cxx
@@ -23,7 +23,7 @@
     }
     ++this->attempt_;
     this->tried_.push_back(upstream);
-    this->running_ = running_dispatch{std::move(link), 0};
+    this->running_ = running_dispatch{upstream, std::move(link), 0};
     this->queue_wait_ += now - this->waiting_since_;
     return this->attempt_;
 }
@@ -113,6 +113,12 @@
     return record;
 }
 
+bool pending_request::has_data() const
+{
+    const std::scoped_lock lock(this->mutex_);
+    return this->first_data_.has_value();
+}
+
 bool pending_request::is_running() const
 {
     const std::scoped_lock lock(this->mutex_);
--- a/Source/controllers/pending_request.h
+++ b/Source/controllers/pending_request.h
@@ -17,6 +17,7 @@
 
 /// A dispatch to be cancelled at its agent.
 struct running_dispatch {
+    std::string upstream; ///< name of the upstream
     std::shared_ptr<upstream_link> link;
     std::uint64_t dispatch_id = 0;
 };
@@ -111,6 +112,9 @@
     /// @return the record, empty if the request had ended already
     std::optional<request_record> drop(time_point now, std::optional<running_dispatch>& running);
 
+    /// @return whether a part of the answer has arrived in the last attempt
+    [[nodiscard]] bool has_data() const;
+
     /// @return whether an attempt is running
     [[nodiscard]] bool is_running() const;
 
--- a/Source/controllers/request_dispatcher.cxx
+++ b/Source/controllers/request_dispatcher.cxx
@@ -24,6 +24,26 @@
 
 using request_pointer = target_queue::request_pointer;
 
+policy::call_outcome result_of_status(unsigned status)
+{
+    constexpr unsigned first_server_error = 500;
+    return status >= first_server_error ? policy::call_outcome::failed
+                                        : policy::call_outcome::succeeded;
+}
+
+/// Only a missing upstream speaks against the upstream; other refusals are decided by the agent.
+policy::call_outcome result_of_refusal(wire::refusal_reason reason)
+{
+    switch (reason) {
+    case wire::REFUSAL_REASON_UPSTREAM_DOWN:
+        return policy::call_outcome::failed;
+    case wire::REFUSAL_REASON_OVERLOADED:
+        return policy::call_outcome::refused;
+    default:
+        return policy::call_outcome::abandoned;
+    }
+}
+
 wire::dispatch make_dispatch(const work_request& work)
 {
     wire::dispatch message;
@@ -63,7 +83,17 @@
         auto& queue = this->queue_of(work.target);
         const auto request =
             std::make_shared<pending_request>(++this->last_id_, std::move(work), response);
-        queue.open(request);
+        if (const auto wait = queue.admit(request, this->clock_.now())) {
+            this->fail(
+                request,
+                {outcome::not_run, error_kind::overloaded,
+                 fmt::format("the predicted wait in the queue of {} is {} ms, too long for "
+                             "the deadline",
+                             request->request().target,
+                             std::chrono::duration_cast<std::chrono::milliseconds>(*wait).count()),
+                 "Send the request again later, with more time or a higher priority."});
+            return;
+        }
         response->on_closed([weak = this->weak_from_this(), weak_request = std::weak_ptr(request)] {
             const auto self = weak.lock();
             const auto closed = weak_request.lock();
@@ -185,8 +215,9 @@
         }
         const auto& work = request->request();
         try {
-            const auto id = upstream.link->dispatch(make_dispatch(work), work.deadline,
-                                                    this->make_events(request, *attempt));
+            const auto id =
+                upstream.link->dispatch(make_dispatch(work), work.deadline,
+                                        this->make_events(request, *attempt, upstream.upstream));
             if (request->set_dispatch_id(*attempt, id)) {
                 upstream.link->cancel(id);
             }
@@ -196,11 +227,14 @@
         }
     }
 
-    dispatch_events make_events(const request_pointer& request, unsigned attempt)
+    dispatch_events make_events(const request_pointer& request, unsigned attempt,
+                                const std::string& upstream)
     {
         const auto weak = this->weak_from_this();
+        const auto status = std::make_shared<unsigned>(0);
         dispatch_events events;
-        events.on_head = [request, attempt](const transport::http_head& head) {
+        events.on_head = [request, attempt, status](const transport::http_head& head) {
+            *status = head.status;
             request->on_head(attempt, head);
         };
         events.on_data = [weak, request, attempt](const std::string& data) {
@@ -208,19 +242,22 @@
                 self->on_data(request, attempt, data);
             }
         };
-        events.on_finished = [weak, request, attempt] {
+        events.on_finished = [weak, request, attempt, upstream, status] {
             if (const auto self = weak.lock()) {
+                self->note_result(request, upstream, result_of_status(*status));
                 self->settle(request, request->finish(attempt, self->clock_.now()), {});
             }
         };
-        events.on_refused = [weak, request, attempt](wire::refusal_reason reason,
-                                                     const std::string& message) {
+        events.on_refused = [weak, request, attempt, upstream](wire::refusal_reason reason,
+                                                               const std::string& message) {
             if (const auto self = weak.lock()) {
+                self->note_result(request, upstream, result_of_refusal(reason));
                 self->on_refused(request, attempt, reason, message);
             }
         };
-        events.on_unknown = [weak, request, attempt](const std::string& message) {
+        events.on_unknown = [weak, request, attempt, upstream](const std::string& message) {
             if (const auto self = weak.lock()) {
+                self->note_result(request, upstream, self->result_of_failure(request));
                 self->on_unknown(request, attempt, message);
             }
         };
@@ -251,6 +288,23 @@
                            "Send the request again with the same Idempotency-Key."});
     }
 
+    /// A passed deadline speaks against the upstream only if it sent nothing in ample time: callers
+    /// with short deadlines must not take a healthy upstream out of rotation.
+    policy::call_outcome result_of_failure(const request_pointer& request) const
+    {
+        const auto& work = request->request();
+        const bool ample = work.deadline - work.received >= 2 * work.first_token_target;
+        return this->clock_.now() < work.deadline || (ample && !request->has_data())
+                   ? policy::call_outcome::failed
+                   : policy::call_outcome::abandoned;
+    }
+
+    void note_result(const request_pointer& request, const std::string& upstream,
+                     policy::call_outcome result)
+    {
+        this->queue_of(request->request().target).on_result(upstream, result, this->clock_.now());
+    }
+
     void end_attempt(const request_pointer& request, unsigned attempt, bool may_have_run,
                      bool retryable, const request_failure& failure)
     {
@@ -295,8 +349,13 @@
         }
         auto& queue = this->queue_of(request->request().target);
         queue.close(request);
-        if (running && running->dispatch_id != 0) {
-            running->link->cancel(running->dispatch_id);
+        if (running) {
+            this->note_result(request, running->upstream,
+                              record->cancelled ? policy::call_outcome::abandoned
+                                                : this->result_of_failure(request));
+            if (running->dispatch_id != 0) {
+                running->link->cancel(running->dispatch_id);
+            }
         }
         this->observer_.on_request_ended(*record);
         this->dispatch_ready(queue);
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -36,6 +36,19 @@
     return candidates;
 }
 
+policy::work_item make_item(const pending_request& request)
+{
+    const auto& work = request.request();
+    policy::work_item item;
+    item.id = request.id();
+    item.priority = work.priority_order;
+    item.organisation = work.organisation;
+    item.share = work.share;
+    item.cost = work.cost;
+    item.deadline = work.deadline;
+    return item;
+}
+
 /// Rendezvous hashing, so that repeats of a key reach the agent that remembers it.
 /// @param candidates at least one has room
 std::size_t choose_by_key(const std::vector<policy::upstream_candidate>& candidates,
@@ -55,17 +68,33 @@
 
 } // namespace
 
-target_queue::target_queue(policy::work_queue_options options, std::uint64_t seed)
-    : queue_(std::move(options)), selector_(seed),
+target_queue::target_queue(const policy::work_queue_options& options, std::uint64_t seed)
+    : queue_(options), selector_(seed), admission_({.priorities = options.priorities}),
       upstreams_(std::make_shared<const std::vector<dispatch_target>>())
 {
 }
 
-void target_queue::open(const request_pointer& request)
+std::optional<duration> target_queue::admit(const request_pointer& request, time_point now)
 {
+    const auto item = make_item(*request);
     const std::scoped_lock lock(this->mutex_);
+    const policy::work_ahead ahead{
+        this->queue_.cost_ahead(item.priority, item.organisation, item.share),
+        this->queue_.more_urgent_cost(item.priority)};
+    const auto decision = this->admission_.decide(item, ahead, now);
+    if (!decision.admitted) {
+        return decision.predicted_wait;
+    }
     this->open_.emplace(request->id(), request);
     this->retries_.on_request();
+    return std::nullopt;
+}
+
+void target_queue::on_result(const std::string& upstream, policy::call_outcome result,
+                             time_point now)
+{
+    const std::scoped_lock lock(this->mutex_);
+    this->outliers_.on_result(hash64(upstream), result, now);
 }
 
 bool target_queue::try_retry()
@@ -81,16 +110,8 @@
     if (!this->open_.contains(request->id())) {
         return {};
     }
-    const auto& work = request->request();
-    policy::work_item item;
-    item.id = request->id();
-    item.priority = work.priority_order;
-    item.organisation = work.organisation;
-    item.share = work.share;
-    item.cost = work.cost;
-    item.deadline = work.deadline;
     std::vector<request_pointer> shed;
-    for (const auto& it : this->queue_.push(std::move(item), now)) {
+    for (const auto& it : this->queue_.push(make_item(*request), now)) {
         shed.push_back(this->find(it.id));
     }
     std::erase(shed, nullptr);
@@ -142,17 +163,49 @@
 target_queue::take_next(const std::vector<dispatch_target>& upstreams, candidate_list candidates,
                         time_point now)
 {
-    if (std::ranges::none_of(candidates, has_room)) {
+    auto in_rotation = candidates;
+    this->mark_ejected(in_rotation);
+    if (std::ranges::none_of(in_rotation, has_room)) {
         return std::nullopt;
     }
     auto request = this->pop(now);
     if (request == nullptr) {
         return std::nullopt;
     }
-    const auto upstream = this->choose(*request, upstreams, std::move(candidates), now);
+    this->admission_.on_served(request->request().priority_order, request->request().cost,
+                               this->queue_.size() > 0, now);
+    if (const auto probed = this->choose_probe(*request, candidates, now)) {
+        return assignment{std::move(request), *probed};
+    }
+    const auto upstream = this->choose(*request, upstreams, std::move(in_rotation), now);
     return assignment{std::move(request), upstream};
 }
 
+void target_queue::mark_ejected(candidate_list& candidates) const
+{
+    for (auto& it : candidates) {
+        it.available = it.available && !this->outliers_.is_ejected(it.id);
+    }
+}
+
+/// Sends a request to an ejected upstream that is due for a probe. Only requests that may be
+/// repeated are risked.
+std::optional<std::size_t> target_queue::choose_probe(const pending_request& request,
+                                                      const candidate_list& candidates,
+                                                      time_point now)
+{
+    if (!request.request().idempotent) {
+        return std::nullopt;
+    }
+    for (std::size_t n = 0; n < candidates.size(); ++n) {
+        if (has_room(candidates[n]) && this->outliers_.is_ejected(candidates[n].id) &&
+            this->outliers_.try_probe(candidates[n].id, now)) {
+            return n;
+        }
+    }
+    return std::nullopt;
+}
+
 target_queue::request_pointer target_queue::pop(time_point now)
 {
     while (true) {
@@ -215,14 +268,20 @@
 
 void target_queue::set_upstreams(std::vector<dispatch_target> upstreams)
 {
+    std::vector<std::uint64_t> ids;
+    ids.reserve(upstreams.size());
+    std::ranges::transform(upstreams, std::back_inserter(ids),
+                           [](const dispatch_target& it) { return hash64(it.upstream); });
     auto list = std::make_shared<const std::vector<dispatch_target>>(std::move(upstreams));
     const std::scoped_lock lock(this->mutex_);
+    this->outliers_.set_members(ids);
     this->upstreams_ = std::move(list);
 }
 
 void target_queue::set_priorities(std::vector<policy::priority_rule> priorities)
 {
     const std::scoped_lock lock(this->mutex_);
+    this->admission_.set_priorities(priorities);
     this->queue_.set_priorities(std::move(priorities));
 }
 
--- a/Source/controllers/target_queue.h
+++ b/Source/controllers/target_queue.h
@@ -13,6 +13,8 @@
 #include "base/clock.h"
 #include "controllers/pending_request.h"
 #include "controllers/upstream_link.h"
+#include "policy/admission_control.h"
+#include "policy/outlier_detector.h"
 #include "policy/retry_budget.h"
 #include "policy/upstream_selector.h"
 #include "policy/work_queue.h"
@@ -39,7 +41,7 @@
 public:
     using request_pointer = std::shared_ptr<pending_request>;
 
-    target_queue(policy::work_queue_options options, std::uint64_t seed);
+    target_queue(const policy::work_queue_options& options, std::uint64_t seed);
 
     /// Adds a request, or returns one for another attempt.
     /// @param request the request
@@ -47,13 +49,22 @@
     /// @return requests that were shed to stay within the limit; may contain the new one
     std::vector<request_pointer> push(const request_pointer& request, time_point now);
 
-    /// Adds a request to those that are open, before its first push.
-    void open(const request_pointer& request);
+    /// Decides whether a new request can be served in time and adds it to those that are open.
+    /// @param request the request; to be pushed next
+    /// @param now the current time
+    /// @return empty, or the predicted wait of a request that was not admitted
+    std::optional<duration> admit(const request_pointer& request, time_point now);
 
     /// Forgets a request that has ended.
     void close(const request_pointer& request);
 
-    /// Takes the token of one retry; requests earn them when they are opened.
+    /// Learns how a dispatch went, to take upstreams that fail out of rotation.
+    /// @param upstream name of the upstream
+    /// @param result how the dispatch ended
+    /// @param now the current time
+    void on_result(const std::string& upstream, policy::call_outcome result, time_point now);
+
+    /// Takes the token of one retry; requests earn them when they are admitted.
     /// @return whether a request may be tried again
     bool try_retry();
 
@@ -86,6 +97,9 @@
         std::size_t upstream;
     };
 
+    void mark_ejected(candidate_list& candidates) const;
+    std::optional<std::size_t> choose_probe(const pending_request& request,
+                                            const candidate_list& candidates, time_point now);
     std::optional<assignment> take_next(const std::vector<dispatch_target>& upstreams,
                                         candidate_list candidates, time_point now);
     std::size_t choose(const pending_request& request,
@@ -98,6 +112,8 @@
     policy::work_queue queue_;
     policy::upstream_selector selector_;
     policy::retry_budget retries_;
+    policy::admission_control admission_;
+    policy::outlier_detector outliers_;
     upstream_list upstreams_;
     std::unordered_map<std::uint64_t, request_pointer> open_;
     bool dispatching_ = false;    ///< a thread is in dispatch_ready
--- a/Tests/controllers/test_request_dispatcher.cxx
+++ b/Tests/controllers/test_request_dispatcher.cxx
@@ -294,3 +294,59 @@
     cr_assert(f.first->calls.size() == 4);
     cr_assert(f.dispatcher.open_requests() == 400);
 }
+
+// Guards against a failing upstream that keeps its part of the work, and against one that is never
+// tried again.
+Test(request_dispatcher, failing_upstream_is_ejected_and_probed)
+{
+    fixture f;
+    const auto third = std::make_shared<fake_upstream_link>(1000);
+    f.first->state.load.set_limit(1000);
+    f.second->state.load.set_limit(1000);
+    f.dispatcher.set_upstreams(
+        "assistant", {{"engine-1", f.first}, {"engine-2", f.second}, {"engine-3", third}});
+    const auto answer_all = [&](bool third_works) {
+        for (const auto& link : {f.first, f.second, third}) {
+            auto calls = std::exchange(link->calls, {});
+            link->state.dispatched_since_report = 0;
+            for (const auto& it : calls) {
+                it.events.on_head({link != third || third_works ? 200U : 500U, {}});
+                it.events.on_finished();
+            }
+        }
+    };
+    for (int n = 0; n < 60; ++n) {
+        f.submit();
+        answer_all(false);
+    }
+    for (int n = 0; n < 60; ++n) {
+        f.submit();
+    }
+    cr_assert(third->calls.empty(), "an ejected upstream gets no work");
+    answer_all(true);
+    for (int n = 0; n < 10; ++n) {
+        f.clock.advance(2s);
+        f.submit();
+        answer_all(true);
+    }
+    for (int n = 0; n < 60; ++n) {
+        f.submit();
+    }
+    cr_assert(!third->calls.empty(), "a repaired upstream is back in rotation");
+}
+
+// Guards against requests that wait although they cannot be served before their deadline.
+Test(request_dispatcher, hopeless_requests_are_not_admitted)
+{
+    fixture f;
+    f.second->state.connected = false;
+    for (int n = 0; n < 200; ++n) {
+        f.submit();
+        f.clock.advance(100ms);
+        f.first->state.dispatched_since_report = 3;
+        f.dispatcher.on_room("assistant");
+    }
+    const auto late = f.submit();
+    cr_assert(late->outcome() == "not-run" && late->head->status == 429, "%s", late->body.c_str());
+    cr_assert(contains(late->body, "predicted wait"));
+}
