entry: Divide the upstreams of large groups by subset assignment

The hash weights used before loaded upstreams unevenly. Entries are known from peers and, beyond those, from the instance list. Groups that fit the subset are used whole.

--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -1,6 +1,7 @@
 #include "commands/entry_process.h"
 
 #include <chrono>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -18,6 +19,8 @@
 
 /// Bounds how late a deadline is noticed.
 constexpr duration tick_interval = std::chrono::milliseconds(50);
+/// Entries that come and go change the division of upstreams; this bounds how often.
+constexpr duration entry_update_interval = std::chrono::seconds(1);
 constexpr duration drain_poll_interval = std::chrono::milliseconds(50);
 
 std::int64_t unix_ms()
@@ -57,6 +60,7 @@
 {
     this->runtime_.on_termination_signal([this] { this->begin_drain(); });
     this->tick_regularly();
+    this->update_entries_regularly();
     this->runtime_.start();
     this->log_.info("Serving callers on {}, operators on {}, entries on {}, incarnation {:016x}.",
                     this->caller_server_->address(), this->operator_server_->address(),
@@ -185,6 +189,7 @@
 void entry_process::on_instance_list(const std::vector<transport::listed_instance>& list)
 {
     std::vector<std::string> entries;
+    std::vector<policy::subset_member> staying_entries;
     std::set<std::string> leaving_entries;
     std::set<std::string> leaving_agents;
     for (const auto& it : list) {
@@ -198,6 +203,13 @@
         else if (it.leaving) {
             leaving_agents.insert(it.address);
         }
+        else if (is_entry) {
+            staying_entries.push_back({it.instance, it.data_centre});
+        }
+    }
+    {
+        const std::scoped_lock lock(this->listed_mutex_);
+        this->listed_entries_ = std::move(staying_entries);
     }
     this->directory_.set_leaving(std::move(leaving_entries));
     this->links_.set_leaving_agents(std::move(leaving_agents));
@@ -259,6 +271,32 @@
     this->runtime_.after(tick_interval, [this] { this->tick_regularly(); });
 }
 
+void entry_process::update_entries_regularly()
+{
+    std::map<std::string, std::string> data_centres;
+    {
+        const std::scoped_lock lock(this->listed_mutex_);
+        for (const auto& it : this->listed_entries_) {
+            data_centres[it.name] = it.data_centre;
+        }
+    }
+    // What peers say themselves takes precedence over the list, which lags.
+    for (const auto& it : this->directory_.peers(this->clock_.now())) {
+        data_centres[it.state.instance()] = it.state.data_centre();
+        if (it.failed || it.state.draining()) {
+            data_centres.erase(it.state.instance());
+        }
+    }
+    data_centres[this->settings_.instance.instance] = this->settings_.instance.data_centre;
+    std::vector<policy::subset_member> entries;
+    entries.reserve(data_centres.size());
+    for (const auto& [name, data_centre] : data_centres) {
+        entries.push_back({name, data_centre});
+    }
+    this->links_.set_entries(std::move(entries));
+    this->runtime_.after(entry_update_interval, [this] { this->update_entries_regularly(); });
+}
+
 void entry_process::begin_drain()
 {
     this->log_.info("Shutting down: no new requests, {} running.",
--- a/Source/commands/entry_process.h
+++ b/Source/commands/entry_process.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,7 @@
     [[nodiscard]] std::vector<controllers::entry_address> entries() const;
     [[nodiscard]] controllers::entry_status status() const;
     void tick_regularly();
+    void update_entries_regularly();
     void begin_drain();
     void stop_when_idle(time_point limit);
 
@@ -67,6 +69,8 @@
     std::atomic<bool> draining_ = false;
     std::atomic<std::size_t> cut_off_ = 0; ///< requests that had not ended at the drain timeout
     std::atomic<std::int64_t> config_since_unix_ms_ = 0;
+    std::mutex listed_mutex_;
+    std::vector<policy::subset_member> listed_entries_; ///< from the instance list
     transport::runtime runtime_;
     transport::log_client log_service_;
     controllers::config_store config_;
--- a/Source/controllers/upstream_links.cxx
+++ b/Source/controllers/upstream_links.cxx
@@ -12,48 +12,53 @@
 
 namespace {
 
-using named_spec = std::pair<std::string, model::upstream_spec>;
-
 const logger& route_log()
 {
     static const logger instance("route");
     return instance;
 }
 
-/// Keeps the upstreams with the highest weights for this entry.
-void keep_subset(std::vector<named_spec>& upstreams, const std::string& instance, std::size_t size)
-{
-    if (upstreams.size() <= size) {
-        return;
-    }
-    const auto seed = hash64(instance);
-    std::ranges::sort(upstreams, std::ranges::greater{},
-                      [seed](const named_spec& it) { return hash64(it.first, seed); });
-    upstreams.resize(size);
-}
-
 } // namespace
 
 upstream_links::upstream_links(upstream_links_options options, request_dispatcher& dispatcher,
                                link_factory open)
-    : options_(std::move(options)), dispatcher_(dispatcher), open_(std::move(open))
+    : options_(std::move(options)), dispatcher_(dispatcher), open_(std::move(open)),
+      entries_{{options_.instance, options_.data_centre}}
 {
 }
 
 void upstream_links::apply(const std::shared_ptr<const config_view>& config)
 {
     const std::scoped_lock change(this->change_mutex_);
-    if (config->offset < this->applied_offset_) {
+    if (this->config_ != nullptr && config->offset < this->config_->offset) {
         return;
     }
-    this->applied_offset_ = config->offset;
+    this->config_ = config;
     std::vector<policy::priority_rule> rules;
     for (const auto& [name, it] : config->priorities) {
         rules.push_back({it.spec.order, it.spec.floor, it.spec.worth, it.spec.first_token_target});
     }
     this->dispatcher_.set_priorities(rules);
-    this->update_links(this->choose_upstreams(*config));
-    this->publish();
+    this->refresh();
+}
+
+void upstream_links::set_entries(std::vector<policy::subset_member> entries)
+{
+    std::ranges::sort(entries, {}, &policy::subset_member::name);
+    const std::scoped_lock change(this->change_mutex_);
+    if (!std::ranges::equal(entries, this->entries_, {}, &policy::subset_member::name,
+                            &policy::subset_member::name)) {
+        this->entries_ = std::move(entries);
+        this->refresh();
+    }
+}
+
+void upstream_links::refresh()
+{
+    if (this->config_ != nullptr) {
+        this->update_links(this->choose_upstreams(*this->config_));
+        this->publish();
+    }
 }
 
 void upstream_links::set_leaving_agents(std::set<std::string> agents)
@@ -107,27 +112,35 @@
 std::map<std::string, model::upstream_spec>
 upstream_links::choose_upstreams(const config_view& config) const
 {
-    std::map<std::string, std::vector<named_spec>> by_target;
+    std::map<std::string, std::vector<policy::subset_member>> by_target;
     for (const auto& [name, it] : config.upstreams) {
-        by_target[it.spec.serves].emplace_back(name, it.spec);
+        by_target[it.spec.serves].push_back({name, it.spec.data_centre});
     }
     std::map<std::string, model::upstream_spec> wanted;
-    for (auto& [target, upstreams] : by_target) {
-        const auto is_near = [this](const named_spec& it) {
-            return it.second.data_centre == this->options_.data_centre &&
-                   it.second.state == model::upstream_state::active;
-        };
-        // Small sites use all upstreams; large ones stay in their data centre if it has any.
-        if (upstreams.size() > this->options_.subset_size &&
-            std::ranges::any_of(upstreams, is_near)) {
-            std::erase_if(upstreams, std::not_fn(is_near));
+    for (const auto& [target, members] : by_target) {
+        for (const auto& name : this->choose_members(members)) {
+            wanted.emplace(name, config.upstreams.at(name).spec);
         }
-        keep_subset(upstreams, this->options_.instance, this->options_.subset_size);
-        wanted.insert(upstreams.begin(), upstreams.end());
     }
     return wanted;
 }
 
+std::vector<std::string>
+upstream_links::choose_members(const std::vector<policy::subset_member>& members) const
+{
+    std::vector<std::string> names;
+    if (members.size() > this->options_.subset_size) {
+        policy::subset_options options;
+        options.subset_size = static_cast<unsigned>(this->options_.subset_size);
+        return policy::subset_assignment(this->entries_, members, options)
+            .upstreams_of(this->options_.instance);
+    }
+    // Small groups are used whole, also across data centres: an entry then loses no capacity when
+    // the upstreams next to it fail.
+    std::ranges::transform(members, std::back_inserter(names), &policy::subset_member::name);
+    return names;
+}
+
 void upstream_links::update_links(const std::map<std::string, model::upstream_spec>& wanted)
 {
     link_map links;
--- a/Source/controllers/upstream_links.h
+++ b/Source/controllers/upstream_links.h
@@ -13,6 +13,7 @@
 #include "controllers/config_store.h"
 #include "controllers/request_dispatcher.h"
 #include "controllers/upstream_link.h"
+#include "policy/subset_assignment.h"
 
 namespace medlaryoke::controllers {
 
@@ -50,6 +51,10 @@
     /// @param config the configuration; an older one than the last is ignored
     void apply(const std::shared_ptr<const config_view>& config);
 
+    /// Divides the upstreams of large groups among the entries.
+    /// @param entries all entries, this one included, in any order
+    void set_entries(std::vector<policy::subset_member> entries);
+
     /// @param agents addresses of agents that leave according to the instance list
     void set_leaving_agents(std::set<std::string> agents);
 
@@ -72,14 +77,18 @@
     using link_map = std::map<std::string, open_link>;
 
     std::map<std::string, model::upstream_spec> choose_upstreams(const config_view& config) const;
+    std::vector<std::string>
+    choose_members(const std::vector<policy::subset_member>& members) const;
     void update_links(const std::map<std::string, model::upstream_spec>& wanted);
+    void refresh();
     void publish();
 
     upstream_links_options options_;
     request_dispatcher& dispatcher_;
     link_factory open_;
     std::mutex change_mutex_; ///< held while links change; no callback of a link takes it
-    std::uint64_t applied_offset_ = 0;
+    std::shared_ptr<const config_view> config_; ///< the newest one applied; null before
+    std::vector<policy::subset_member> entries_;
     std::set<std::string> leaving_agents_;
     std::set<std::string> published_targets_;
     mutable std::mutex mutex_; ///< guards the members below, never held while a link is called
--- a/Tests/controllers/test_membership.cxx
+++ b/Tests/controllers/test_membership.cxx
@@ -153,6 +153,7 @@
 {
     fixture f(3);
     f.links.apply(make_config(1, 20));
+    f.links.set_entries({{"entry-2", "oslo-1"}, {"entry-1", "oslo-1"}});
     const auto links = f.links.status();
     cr_assert(links.size() == 3);
     for (const auto& it : links) {
