--- a/Tests/controllers/test_config_store.cxx
+++ b/Tests/controllers/test_config_store.cxx
@@ -50,6 +50,8 @@
     older.set_snapshot("damaged");
     cr_assert(!store.fold(older));
     cr_assert(store.view()->offset == 5 && store.view()->model_groups.size() == 5);
+    cr_assert(store.fold(make_records(3, 7)), "records already folded must be skipped");
+    cr_assert(store.view()->offset == 7 && store.view()->model_groups.size() == 7);
 }
 
 // Guards against a peer that is left with a different configuration, both when the records are
