--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -1,6 +1,7 @@
 #include "commands/entry_process.h"
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <set>
 #include <utility>
@@ -30,11 +31,19 @@
         .count();
 }
 
+controllers::delayed_call make_timer(transport::runtime& context)
+{
+    return [&context](duration delay, std::function<void()> fn) {
+        context.after(delay, std::move(fn));
+    };
+}
+
 } // namespace
 
 entry_process::entry_process(const model::entry_settings& settings)
     : settings_(settings), incarnation_(make_incarnation()), runtime_(settings.instance.threads),
       log_service_(runtime_, settings.platform.log, settings.platform.request_timeout),
+      config_feed_(log_service_, config_, make_timer(runtime_)),
       dispatcher_(clock_, {{}, settings.max_queue_items, random_bits()}, statistics_),
       directory_(settings.instance.instance, controllers::peer_silence_limit),
       links_({settings.instance.instance, settings.instance.data_centre, settings.subset_size},
@@ -46,6 +55,9 @@
 {
     this->start_servers();
     this->config_.subscribe([this](const auto& config) { this->on_config(config); });
+    this->snapshot_writer_ = std::make_unique<controllers::snapshot_writer>(
+        this->log_service_, this->config_, this->clock_, make_timer(this->runtime_),
+        settings.instance.instance, [this] { return this->live_peers(); });
     if (!settings.platform.instance_list.empty()) {
         transport::instance_list_options options;
         options.address = settings.platform.instance_list;
@@ -61,6 +73,8 @@
     this->runtime_.on_termination_signal([this] { this->begin_drain(); });
     this->tick_regularly();
     this->update_entries_regularly();
+    this->config_feed_.start();
+    this->snapshot_writer_->start();
     this->runtime_.start();
     this->log_.info("Serving callers on {}, operators on {}, entries on {}, incarnation {:016x}.",
                     this->caller_server_->address(), this->operator_server_->address(),
@@ -241,6 +255,17 @@
     return entries;
 }
 
+std::vector<std::string> entry_process::live_peers() const
+{
+    std::vector<std::string> names;
+    for (const auto& it : this->directory_.peers(this->clock_.now())) {
+        if (!it.failed && !it.state.draining()) {
+            names.push_back(it.state.instance());
+        }
+    }
+    return names;
+}
+
 controllers::entry_status entry_process::status() const
 {
     const auto now = this->clock_.now();
@@ -251,6 +276,7 @@
     status.caller_address = this->caller_server_->address();
     status.draining = this->draining_;
     status.config_offset = this->config_.view()->offset;
+    status.log_available = this->config_feed_.is_log_available();
     status.config_since_unix_ms = this->config_since_unix_ms_;
     status.confirmed_offset =
         this->directory_.lowest_confirmed(now, this->links_.lowest_confirmed(status.config_offset));
--- a/Source/commands/entry_process.h
+++ b/Source/commands/entry_process.h
@@ -10,12 +10,14 @@
 
 #include "base/clock.h"
 #include "base/logging.h"
+#include "controllers/config_feed.h"
 #include "controllers/config_store.h"
 #include "controllers/operator_status.h"
 #include "controllers/peer_directory.h"
 #include "controllers/peer_network.h"
 #include "controllers/request_dispatcher.h"
 #include "controllers/request_statistics.h"
+#include "controllers/snapshot_writer.h"
 #include "controllers/upstream_links.h"
 #include "filters/caller_api.h"
 #include "model/process_settings.h"
@@ -56,6 +58,7 @@
     void on_instance_list(const std::vector<transport::listed_instance>& list);
     [[nodiscard]] wire::peer_state own_state() const;
     [[nodiscard]] std::vector<controllers::entry_address> entries() const;
+    [[nodiscard]] std::vector<std::string> live_peers() const;
     [[nodiscard]] controllers::entry_status status() const;
     void tick_regularly();
     void update_entries_regularly();
@@ -74,6 +77,7 @@
     transport::runtime runtime_;
     transport::log_client log_service_;
     controllers::config_store config_;
+    controllers::config_feed config_feed_;
     controllers::request_statistics statistics_;
     controllers::request_dispatcher dispatcher_;
     controllers::peer_directory directory_;
@@ -84,6 +88,7 @@
     std::unique_ptr<transport::http_server> caller_server_;
     std::unique_ptr<transport::http_server> operator_server_;
     std::unique_ptr<transport::instance_list_client> instance_list_;
+    std::unique_ptr<controllers::snapshot_writer> snapshot_writer_;
 };
 
 } // namespace medlaryoke::commands
--- a/Source/controllers/operator_status.cxx
+++ b/Source/controllers/operator_status.cxx
@@ -73,7 +73,8 @@
               {"config",
                {{"offset", status.config_offset},
                 {"since_unix_ms", status.config_since_unix_ms},
-                {"confirmed_offset", status.confirmed_offset}}},
+                {"confirmed_offset", status.confirmed_offset},
+                {"log_available", status.log_available}}},
               {"limits",
                {{"max_queue_items", status.max_queue_items},
                 {"max_body_bytes", status.max_body_bytes},
@@ -126,6 +127,7 @@
     gauge("medlaryoke_draining", status.draining ? 1 : 0);
     gauge("medlaryoke_config_offset", status.config_offset);
     gauge("medlaryoke_config_confirmed_offset", status.confirmed_offset);
+    gauge("medlaryoke_log_available", status.log_available ? 1 : 0);
     gauge("medlaryoke_open_connections", status.open_connections);
     text += "# TYPE medlaryoke_waiting_requests gauge\n";
     for (const auto& it : status.queues) {
--- a/Source/controllers/operator_status.h
+++ b/Source/controllers/operator_status.h
@@ -23,6 +23,7 @@
     std::string caller_address;
     bool draining = false;
     std::uint64_t config_offset = 0;
+    bool log_available = true; ///< while it is not, no change of configuration is accepted
     std::int64_t config_since_unix_ms = 0; ///< when the offset came into force here
     std::uint64_t confirmed_offset = 0;    ///< lowest offset known to be in force anywhere
     std::size_t max_queue_items = 0;
