config: Serve resources and changes to operators

Operators need to read, change and follow the configuration at any entry, and to learn who won when two of them change the same resource.

resource_api serves single resources, lists, changes of several resources at once, the offsets and a stream of events that goes on from a version. Each change names the versions it replaces; a conflict names the winner.

--- a/Source/controllers/config_feed.cxx
+++ b/Source/controllers/config_feed.cxx
@@ -54,7 +54,7 @@
     {
         this->set_available(true);
         if (this->search_) {
-            this->continue_search(result);
+            this->continue_search(*this->search_, result);
             return;
         }
         const auto count = result.records.size();
@@ -88,9 +88,8 @@
         this->read_later();
     }
 
-    void continue_search(transport::read_records& result)
+    void continue_search(snapshot_search& search, transport::read_records& result)
     {
-        auto& search = *this->search_;
         for (auto& it : result.records) {
             search.assembly.add(it.offset, policy::decode_record(it.data));
             search.next = it.offset + 1;
--- a/Source/controllers/config_store.cxx
+++ b/Source/controllers/config_store.cxx
@@ -82,7 +82,7 @@
             return false;
         }
         this->current = changed ? make_view(this->ledger) : move_on(*this->current, offset);
-        this->waiting.push_back(this->current);
+        this->waiting_.push_back(this->current);
         this->notify(lock);
         return true;
     }
@@ -109,7 +109,7 @@
             this->ledger = std::move(loaded);
         }
         catch (const error& e) {
-            this->log.warning("snapshot {} refused: {}", records.snapshot_offset(), e.what());
+            this->log_.warning("snapshot {} refused: {}", records.snapshot_offset(), e.what());
             return false;
         }
         this->kept.clear();
@@ -126,13 +126,13 @@
                 continue;
             }
             if (it.offset() != this->ledger.offset() + 1) {
-                this->log.warning("record {} skipped: record {} is missing", it.offset(),
-                                  this->ledger.offset() + 1);
+                this->log_.warning("record {} skipped: record {} is missing", it.offset(),
+                                   this->ledger.offset() + 1);
                 break;
             }
             const auto record = policy::decode_record(it.data());
             if (const auto* damaged = std::get_if<policy::damaged_record>(&record)) {
-                this->log.warning("record {} is damaged: {}", it.offset(), damaged->reason);
+                this->log_.warning("record {} is damaged: {}", it.offset(), damaged->reason);
             }
             changed = this->ledger.fold(it.offset(), record) || changed;
             this->snapshots.add(it.offset(), record);
@@ -155,13 +155,13 @@
     /// leaves its view to the thread that is already calling, so that the order is kept.
     void notify(std::unique_lock<std::mutex>& lock)
     {
-        if (this->notifying) {
+        if (this->notifying_) {
             return;
         }
-        this->notifying = true;
-        while (!this->waiting.empty()) {
-            const auto view = std::move(this->waiting.front());
-            this->waiting.pop_front();
+        this->notifying_ = true;
+        while (!this->waiting_.empty()) {
+            const auto view = std::move(this->waiting_.front());
+            this->waiting_.pop_front();
             const auto targets = this->subscribers;
             lock.unlock();
             for (const auto& fn : targets) {
@@ -169,12 +169,12 @@
             }
             lock.lock();
         }
-        this->notifying = false;
+        this->notifying_ = false;
     }
 
-    std::deque<view_ptr> waiting;
-    bool notifying = false;
-    logger log{"config"};
+    std::deque<view_ptr> waiting_;
+    bool notifying_ = false;
+    logger log_{"config"};
 };
 
 config_store::config_store() : impl_(std::make_unique<implementation>()) {}
--- a/Source/policy/config_ledger.h
+++ b/Source/policy/config_ledger.h
@@ -110,6 +110,11 @@
 public:
     using entry_map = std::map<resource_key, std::shared_ptr<const ledger_entry>>;
 
+    struct deletion {
+        std::uint64_t version = 0;
+        std::string author;
+    };
+
     /// Outcomes and deletions remembered, to recognise a repeated operation id and to name the
     /// winner of a conflict. At 1,400 changes a day this is more than 17 hours.
     static constexpr std::size_t remembered_operations = 1024;
@@ -126,6 +131,12 @@
     /// @return the resources in force
     [[nodiscard]] const entry_map& entries() const { return this->entries_; }
 
+    /// @return version and author of the latest deletions; at most remembered_operations
+    [[nodiscard]] const std::map<resource_key, deletion>& deletions() const
+    {
+        return this->deletions_;
+    }
+
     /// @param operation_id an operation
     /// @return how its change ended; null if it was not folded or is no longer remembered
     [[nodiscard]] const change_outcome* outcome_of(const std::string& operation_id) const;
@@ -144,11 +155,6 @@
     static config_ledger from_snapshot(std::string_view data);
 
 private:
-    struct deletion {
-        std::uint64_t version = 0;
-        std::string author;
-    };
-
     struct evaluation {
         change_outcome outcome;
         entry_map entries; ///< after an accepted change
--- /dev/null
+++ b/Tests/controllers/test_resource_api.cxx
@@ -0,0 +1,217 @@
+#include "controllers/resource_api.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include "controllers/config_feed.h"
+#include "fakes/fake_log.h"
+#include "fakes/fake_response_stream.h"
+#include "fakes/hand_driven_time.h"
+
+using namespace std::chrono_literals;
+using namespace medlaryoke;
+using nlohmann::json;
+
+namespace {
+
+const std::string group_spec = R"({"model":"m","ranks":2})";
+
+/// An entry's resource interface over a log in memory.
+struct operator_fixture {
+    operator_fixture() { feed.start(); }
+
+    std::shared_ptr<fakes::fake_response_stream>
+    send(const std::string& method, const std::string& target, const std::string& body = "",
+         const std::string& version = "", const std::string& author = "anna")
+    {
+        transport::http_request request{method, target, {{"Medlaryoke-Author", author}}, body};
+        if (!version.empty()) {
+            request.headers.push_back({"If-Match", version});
+        }
+        auto response = std::make_shared<fakes::fake_response_stream>();
+        cr_assert(this->api.handle(request, response));
+        this->time.run_for(1s);
+        return response;
+    }
+
+    fakes::hand_driven_time time;
+    fakes::fake_log log{time};
+    controllers::config_store store;
+    controllers::config_feed feed{log, store, time.timer()};
+    controllers::config_writer writer{log, store, time.clock, time.timer()};
+    std::uint64_t confirmed = 0;
+    controllers::resource_api api{store, writer, [this] { return this->confirmed; }, time.clock,
+                                  time.timer()};
+};
+
+unsigned status_of(const std::shared_ptr<fakes::fake_response_stream>& response)
+{
+    return response->head ? response->head->status : 0;
+}
+
+/// Checks that a reply is a typed error and returns its message.
+std::string error_of(const std::shared_ptr<fakes::fake_response_stream>& response, unsigned status)
+{
+    cr_assert(status_of(response) == status, "status %u: %s", status_of(response),
+              response->body.c_str());
+    const auto body = json::parse(response->body);
+    cr_assert(!body.at("error").at("remedy").get<std::string>().empty());
+    return body.at("error").at("message");
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a change that does not arrive, or is called in force before it is.
+Test(resource_api, put_get_list_delete)
+{
+    operator_fixture it;
+    const std::string path = "/v1/resources/model_group/g";
+    const auto put = it.send("PUT", path, group_spec, "0");
+    cr_assert(status_of(put) == 200);
+    cr_assert(json::parse(put->body).at("version") == 1);
+    cr_assert(json::parse(put->body).at("in_force") == false);
+    const auto got = json::parse(it.send("GET", path)->body);
+    cr_assert(got.at("version") == 1 && got.at("author") == "anna" &&
+              got.at("spec").at("ranks") == 2);
+    it.confirmed = 2;
+    const auto second = it.send("PUT", path, group_spec, "\"1\"");
+    cr_assert(json::parse(second->body).at("in_force") == true);
+    const auto list = json::parse(it.send("GET", "/v1/resources")->body);
+    cr_assert(list.at("offset") == 2 && list.at("confirmed_offset") == 2 &&
+              list.at("resources").size() == 1);
+    cr_assert(json::parse(it.send("GET", "/v1/resources/upstream")->body).at("resources").empty());
+    cr_assert(status_of(it.send("DELETE", path, "", "2")) == 200);
+    error_of(it.send("GET", path), 404);
+    cr_assert(json::parse(it.send("GET", "/v1/config")->body).at("offset") == 3);
+}
+
+// Guards against a lost update: the loser must learn the winning version and its author.
+Test(resource_api, conflict_is_explained)
+{
+    operator_fixture it;
+    const std::string path = "/v1/resources/model_group/g";
+    it.send("PUT", path, group_spec, "0", "anna");
+    const auto late = it.send("PUT", path, group_spec, "0", "juma");
+    const auto message = error_of(late, 409);
+    cr_assert(contains(message, "version 1") && contains(message, "anna"), "%s", message.c_str());
+    cr_assert(transport::find_header(late->head->headers, "ETag") == "\"1\"");
+    cr_assert(it.log.records().size() == 1);
+}
+
+// Guards against a change of several resources that is applied in part.
+Test(resource_api, several_resources_change_together)
+{
+    operator_fixture it;
+    json body{{"author", "anna"}, {"items", json::array()}};
+    body["items"].push_back({{"kind", "model_group"},
+                             {"name", "g"},
+                             {"expected_version", 0},
+                             {"spec", json::parse(group_spec)}});
+    body["items"].push_back({{"kind", "upstream"},
+                             {"name", "e"},
+                             {"expected_version", 0},
+                             {"spec",
+                              {{"type", "engine"},
+                               {"serves", "other"},
+                               {"agent", "127.0.0.1:1"},
+                               {"data_centre", "d"}}}});
+    const auto message = error_of(it.send("POST", "/v1/changes", body.dump()), 400);
+    cr_assert(contains(message, "\"e\"") && contains(message, "other"), "%s", message.c_str());
+    cr_assert(it.store.view()->model_groups.empty());
+    body["items"][1]["spec"]["serves"] = "g";
+    cr_assert(status_of(it.send("POST", "/v1/changes", body.dump())) == 200);
+    cr_assert(it.store.view()->upstreams.size() == 1);
+}
+
+// Guards against input that is accepted or answered without a typed error.
+Test(resource_api, refuses_bad_requests)
+{
+    operator_fixture it;
+    const std::string path = "/v1/resources/model_group/g";
+    error_of(it.send("PUT", path, group_spec), 400);
+    error_of(it.send("PUT", path, group_spec, "one"), 400);
+    error_of(it.send("PUT", path, "{", "0"), 400);
+    error_of(it.send("PUT", path, R"({"model":"m","rank":2})", "0"), 400);
+    error_of(it.send("PUT", path + "%20", group_spec, "0"), 400);
+    error_of(it.send("PUT", path, group_spec, "0", "\xff\x01"), 400);
+    error_of(it.send("PATCH", path, group_spec, "0"), 400);
+    error_of(it.send("PUT", "/v1/resources/other/g", group_spec, "0"), 404);
+    error_of(it.send("GET", "/v1/watch?since=1"), 400);
+    error_of(it.send("POST", "/v1/changes", "[]"), 400);
+    error_of(it.send("DELETE", path, "", "5"), 409);
+    it.log.outage = true;
+    cr_assert(contains(error_of(it.send("PUT", path, group_spec, "0"), 503), "not accepted"));
+    cr_assert(it.log.records().empty());
+    const auto response = std::make_shared<fakes::fake_response_stream>();
+    cr_assert(!it.api.handle({"GET", "/v1/status", {}, ""}, response));
+}
+
+// Guards against a watcher that misses a change, or gets one twice, around a reconnect.
+Test(resource_api, watch_goes_on_from_a_version)
+{
+    operator_fixture it;
+    const std::string path = "/v1/resources/model_group/";
+    it.send("PUT", path + "a", group_spec, "0");
+    it.send("PUT", path + "b", group_spec, "0");
+    const auto all = it.send("GET", "/v1/watch");
+    const auto later = it.send("GET", "/v1/watch?from=1");
+    cr_assert(contains(all->body, "\"a\"") && contains(all->body, "\"b\""));
+    cr_assert(!contains(later->body, "\"a\"") && contains(later->body, "id: 2\nevent: change\n"));
+    const auto before = later->body.size();
+    it.send("DELETE", path + "a", "", "1");
+    it.confirmed = 3;
+    it.time.run_for(1s);
+    const auto added = later->body.substr(before);
+    cr_assert(contains(added, "id: 3\nevent: deletion\n") && !contains(added, "\"b\""));
+    cr_assert(contains(added, "event: in_force\ndata: {\"version\":3}"));
+    it.time.run_for(10s);
+    cr_assert(contains(later->body, ": idle"));
+    later->closed();
+    const auto size = later->body.size();
+    it.send("PUT", path + "c", group_spec, "0");
+    cr_assert(later->body.size() == size);
+    cr_assert(contains(all->body, "\"c\""));
+}
+
+// Guards against a slow watcher that takes memory without end.
+Test(resource_api, slow_watcher_is_cut_off)
+{
+    operator_fixture it;
+    const auto watch = it.send("GET", "/v1/watch");
+    watch->unsent = 100U * 1024U * 1024U;
+    it.send("PUT", "/v1/resources/model_group/a", group_spec, "0");
+    cr_assert(watch->aborted);
+}
+
+// Guards against bodies that end the process: every reply to a damaged change is a typed error.
+Test(resource_api, survives_random_mutations)
+{
+    operator_fixture it;
+    std::mt19937 random(20261204);
+    const std::string sample =
+        R"({"author":"anna","operation_id":"op-1","items":[{"kind":"model_group","name":"g",)"
+        R"("expected_version":0,"spec":{"model":"m","ranks":2}}]})";
+    for (int round = 0; round < 3000; ++round) {
+        auto text = sample;
+        for (auto n = 1 + random() % 3; n > 0; --n) {
+            static constexpr std::string_view alphabet = "{}[]\":,0-a\xff\x01";
+            text[random() % text.size()] = alphabet[random() % alphabet.size()];
+        }
+        const auto response = std::make_shared<fakes::fake_response_stream>();
+        it.api.handle({"POST", "/v1/changes", {}, text}, response);
+        it.time.run_for(20ms);
+        if (status_of(response) != 200) {
+            cr_assert(json::parse(response->body).at("error").contains("kind"));
+        }
+    }
+}
