--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -44,6 +44,7 @@
     : settings_(settings), incarnation_(make_incarnation()), runtime_(settings.instance.threads),
       log_service_(runtime_, settings.platform.log, settings.platform.request_timeout),
       config_feed_(log_service_, config_, make_timer(runtime_)),
+      config_writer_(log_service_, config_, clock_, make_timer(runtime_)),
       dispatcher_(clock_, {{}, settings.max_queue_items, random_bits()}, statistics_),
       directory_(settings.instance.instance, controllers::peer_silence_limit),
       links_({settings.instance.instance, settings.instance.data_centre, settings.subset_size},
@@ -51,7 +52,10 @@
              [this](const std::string& upstream, const model::upstream_spec& spec) {
                  return this->open_link(upstream, spec);
              }),
-      operator_status_([this] { return this->status(); }, statistics_)
+      operator_status_([this] { return this->status(); }, statistics_),
+      resource_api_(
+          config_, config_writer_, [this] { return this->confirmed_offset(); }, clock_,
+          make_timer(runtime_))
 {
     this->start_servers();
     this->config_.subscribe([this](const auto& config) { this->on_config(config); });
@@ -186,7 +190,8 @@
 void entry_process::handle_operator(const transport::http_request& request,
                                     const std::shared_ptr<transport::response_stream>& response)
 {
-    if (!this->operator_status_.handle(request, *response)) {
+    if (!this->operator_status_.handle(request, *response) &&
+        !this->resource_api_.handle(request, response)) {
         response->respond(transport::make_error_response(
             error(error_kind::not_found, fmt::format("unknown path \"{}\"", request.target),
                   "Use /v1/resources, /v1/watch, /v1/status, /v1/samples, /metrics, /healthz or "
@@ -266,6 +271,12 @@
     return names;
 }
 
+std::uint64_t entry_process::confirmed_offset() const
+{
+    return this->directory_.lowest_confirmed(
+        this->clock_.now(), this->links_.lowest_confirmed(this->config_.view()->offset));
+}
+
 controllers::entry_status entry_process::status() const
 {
     const auto now = this->clock_.now();
--- a/Source/commands/entry_process.h
+++ b/Source/commands/entry_process.h
@@ -12,11 +12,13 @@
 #include "base/logging.h"
 #include "controllers/config_feed.h"
 #include "controllers/config_store.h"
+#include "controllers/config_writer.h"
 #include "controllers/operator_status.h"
 #include "controllers/peer_directory.h"
 #include "controllers/peer_network.h"
 #include "controllers/request_dispatcher.h"
 #include "controllers/request_statistics.h"
+#include "controllers/resource_api.h"
 #include "controllers/snapshot_writer.h"
 #include "controllers/upstream_links.h"
 #include "filters/caller_api.h"
@@ -59,6 +61,7 @@
     [[nodiscard]] wire::peer_state own_state() const;
     [[nodiscard]] std::vector<controllers::entry_address> entries() const;
     [[nodiscard]] std::vector<std::string> live_peers() const;
+    [[nodiscard]] std::uint64_t confirmed_offset() const;
     [[nodiscard]] controllers::entry_status status() const;
     void tick_regularly();
     void update_entries_regularly();
@@ -78,11 +81,13 @@
     transport::log_client log_service_;
     controllers::config_store config_;
     controllers::config_feed config_feed_;
+    controllers::config_writer config_writer_;
     controllers::request_statistics statistics_;
     controllers::request_dispatcher dispatcher_;
     controllers::peer_directory directory_;
     controllers::upstream_links links_;
     controllers::operator_status operator_status_;
+    controllers::resource_api resource_api_;
     std::unique_ptr<controllers::peer_network> peers_;
     std::unique_ptr<filters::caller_api> caller_api_;
     std::unique_ptr<transport::http_server> caller_server_;
--- a/Tests/Session/test_session.cxx
+++ b/Tests/Session/test_session.cxx
@@ -114,6 +114,12 @@
     scripted_session s;
     s.site.configure();
     const auto& entry = s.site.entries()[0];
+    s.log.add("GET /v1/resources/caller/shop",
+              s.site.send(entry.operators, "GET", "/v1/resources/caller/shop"));
+    s.log.add("PUT /v1/resources/model_group/assistant [If-Match: 9]",
+              s.site.put("model_group", "assistant", 9, {{"model", "boba-9b"}}));
+    s.log.add("PUT /v1/resources/priority/normal [If-Match: 0] {\"order\":\"first\"}",
+              s.site.put("priority", "normal", 0, {{"order", "first"}}));
     s.call("GET", "/v1/entries");
     s.call("POST", "/v1/keys");
     s.call("POST", chat_path, {}, make_chat("How much tapioca is left?"));
