--- a/Tests/Session/product_process.cxx
+++ b/Tests/Session/product_process.cxx
@@ -11,7 +11,7 @@
 #include <thread>
 
 #include <fcntl.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -43,17 +43,20 @@
     const auto settings_file = this->directory_ + "/settings.yaml";
     const auto log_file = this->directory_ + "/log";
     std::ofstream(settings_file) << settings;
-    posix_spawn_file_actions_t actions;
-    ::posix_spawn_file_actions_init(&actions);
-    ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
-                                       O_WRONLY | O_CREAT | O_TRUNC, S_IRUSR | S_IWUSR);
     std::array<std::string, 4> words{MEDLARYOKE_BINARY, role, "--settings", settings_file};
     std::array<char*, 5> arguments{words[0].data(), words[1].data(), words[2].data(),
                                    words[3].data(), nullptr};
-    const auto code =
-        ::posix_spawn(&this->pid_, MEDLARYOKE_BINARY, &actions, nullptr, arguments.data(), environ);
-    ::posix_spawn_file_actions_destroy(&actions);
-    if (code != 0) {
+    this->pid_ = ::fork();
+    if (this->pid_ == 0) {
+        // A failed assertion ends the test without destructors; no process may outlive it.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const int log = ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_TRUNC, S_IRUSR | S_IWUSR);
+        ::dup2(log, STDOUT_FILENO);
+        ::dup2(log, STDERR_FILENO);
+        ::execv(arguments[0], arguments.data());
+        ::_exit(signal_exit_code);
+    }
+    if (this->pid_ < 0) {
         throw std::runtime_error("cannot start " + words[0]);
     }
 }
--- a/Tests/Session/session_site.cxx
+++ b/Tests/Session/session_site.cxx
@@ -24,11 +24,11 @@
 constexpr auto poll_interval = 20ms;
 constexpr const char* credential = "sample-shop";
 
-std::string make_header(const std::string& name, const std::string& log)
+std::string make_header(const std::string& name, const std::string& platform)
 {
     return fmt::format("instance:\n  name: {}\n  data_centre: oslo-1\nplatform:\n  log: {}\n"
-                       "  request_timeout: 500ms\n",
-                       name, log);
+                       "  instance_list: {}\n  request_timeout: 500ms\n",
+                       name, platform, platform);
 }
 
 json make_priority(unsigned order, const std::string& target, double floor)
@@ -59,8 +59,8 @@
         this->agents_.push_back(this->start_agent(fmt::format("desk-{}", n), "desk", "service",
                                                   this->services_.back()->address()));
     }
-    this->entries_.push_back(this->start_entry("entry-1", ""));
-    this->entries_.push_back(this->start_entry("entry-2", this->entries_[0].peers));
+    this->add_entry();
+    this->add_entry();
 }
 
 session_site::~session_site()
@@ -86,7 +86,7 @@
     for (const auto& it : this->agents_) {
         json spec{{"type", it.type},
                   {"serves", it.serves},
-                  {"agent", it.address},
+                  {"agent", it.proxy->address()},
                   {"data_centre", "oslo-1"}};
         if (it.type == "service") {
             spec["repeatable"] = {"GET /stock"};
@@ -98,16 +98,36 @@
              {"credential_sha256", sha256_hex(credential)},
              {"share", 1},
              {"priorities", {"urgent", "batch"}}});
-    const bool ready = eventually([this] {
-        return std::ranges::all_of(this->entries_,
-                                   [this](const auto& it) { return this->is_connected(it); });
-    });
-    if (!ready) {
+    if (!this->wait_until_connected()) {
         throw std::runtime_error("the site did not connect: " +
                                  this->status(this->entries_[0]).dump());
     }
 }
 
+bool session_site::wait_until_connected()
+{
+    return eventually([this] {
+        return std::ranges::all_of(this->entries_,
+                                   [this](const auto& it) { return this->is_connected(it); });
+    });
+}
+
+void session_site::control_platform(const std::string& what, const json& body)
+{
+    this->send(this->platform_.address(), "PUT", "/control/" + what, {}, body.dump());
+}
+
+std::uint64_t session_site::received_by_engine(std::size_t upstream)
+{
+    const auto& address = this->engines_.at(upstream)->address();
+    return json::parse(this->send(address, "GET", "/control/stats").body)["received"];
+}
+
+void session_site::add_entry()
+{
+    this->entries_.push_back(this->start_entry(fmt::format("entry-{}", this->entries_.size() + 1)));
+}
+
 bool session_site::is_connected(const entry_node& entry)
 {
     const auto state = this->status(entry);
@@ -192,10 +212,11 @@
 agent_node session_site::start_agent(const std::string& upstream, const std::string& serves,
                                      const std::string& type, const std::string& upstream_address)
 {
-    agent_node node{nullptr, upstream, serves, type, upstream_address, "127.0.0.1:0"};
+    agent_node node{nullptr, upstream, serves, type, upstream_address, "127.0.0.1:0", nullptr};
     node.process = this->run_agent(node);
     // The log line names the upstream, the listener for entries and that for operators.
     node.address = node.process->wait_for_addresses().at(1);
+    node.proxy = std::make_unique<fakes::tcp_proxy>(node.address);
     return node;
 }
 
@@ -210,13 +231,16 @@
     return std::make_unique<product_process>("agent", settings);
 }
 
-entry_node session_site::start_entry(const std::string& name, const std::string& peer)
+entry_node session_site::start_entry(const std::string& name)
 {
     auto settings = make_header(name, this->platform_.address()) +
                     "entry:\n  caller_address: 127.0.0.1:0\n  operator_address: 127.0.0.1:0\n"
                     "  peer_address: 127.0.0.1:0\n  address_lifetime: 100ms\n";
-    if (!peer.empty()) {
-        settings += fmt::format("  peers: ['{}']\n", peer);
+    if (!this->entries_.empty()) {
+        settings += "  peers:\n";
+    }
+    for (const auto& it : this->entries_) {
+        settings += fmt::format("    - {}\n", it.peers);
     }
     entry_node node{std::make_unique<product_process>("entry", settings), "", "", ""};
     const auto addresses = node.process->wait_for_addresses();
--- a/Tests/Session/session_site.h
+++ b/Tests/Session/session_site.h
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "fakes/tcp_proxy.h"
 #include "Session/product_process.h"
 #include "StandIns/engine_standin.h"
 #include "StandIns/platform_standin.h"
@@ -34,7 +35,8 @@
     std::string serves;
     std::string type;
     std::string upstream_address;
-    std::string address; ///< for entries
+    std::string address;                     ///< for entries
+    std::unique_ptr<fakes::tcp_proxy> proxy; ///< between the entries and the agent
 };
 
 /// A small site of real processes over loopback sockets: platform, two engines and two plain
@@ -75,6 +77,23 @@
     /// @return runs of a key at all services together
     std::uint64_t runs(const std::string& key);
 
+    /// Puts faults or the instance list at the platform.
+    /// @param what `faults` or `instances`
+    /// @param body the JSON
+    void control_platform(const std::string& what, const nlohmann::json& body);
+
+    /// @param upstream number of the engine
+    /// @return requests that the engine received so far
+    std::uint64_t received_by_engine(std::size_t upstream);
+
+    /// Starts a further entry that knows the earlier ones.
+    void add_entry();
+
+    /// Waits until an entry is connected with all agents and entries and has the newest
+    /// configuration.
+    /// @return whether that came true
+    bool wait_until_connected();
+
     /// Starts an agent again at its address.
     void restart(agent_node& agent);
 
@@ -88,7 +107,7 @@
 private:
     agent_node start_agent(const std::string& upstream, const std::string& serves,
                            const std::string& type, const std::string& upstream_address);
-    entry_node start_entry(const std::string& name, const std::string& peer);
+    entry_node start_entry(const std::string& name);
     [[nodiscard]] std::unique_ptr<product_process> run_agent(const agent_node& agent) const;
     bool is_connected(const entry_node& entry);
 
--- a/Tests/Session/test_failures.cxx
+++ b/Tests/Session/test_failures.cxx
@@ -124,6 +124,23 @@
     cr_assert(result.completions["unknown"] == 0 && result.completions["broken"] == 0);
 }
 
+// Guards against connections that go silent without being closed: work that hangs, runs twice (P4),
+// is wrongly reported as not run (P3), or reaches the wrong caller (P2).
+Test(failures, silent_connections_under_load)
+{
+    session_site site;
+    site.configure();
+    running_load load(site);
+    load.wait_for_orders(50);
+    for (const std::size_t victim : {2U, 0U, 3U}) {
+        site.agents()[victim].proxy->silence_open_connections();
+        load.wait_for_orders(100);
+    }
+    auto result = load.stop();
+    check_orders(site, result);
+    cr_assert(result.completions["broken"] == 0);
+}
+
 // Guards against a killed entry that makes a request run twice, or that stops the other entry.
 Test(failures, killed_entry_under_load)
 {
--- a/Tests/Session/test_session.cxx
+++ b/Tests/Session/test_session.cxx
@@ -195,18 +195,69 @@
     cr_assert(entry.process->wait() == 0, "%s", entry.process->log().c_str());
 }
 
-// Guards against new work for an upstream that its operator or its agent takes away (P5), and
-// against an agent that cuts off what runs (P6).
+// Guards against new work for an upstream that leaves by the instance list, by configuration or by
+// the word of its agent (P5), and against an agent that cuts off what runs (P6).
 Test(session, leaving_upstreams_get_no_new_work)
 {
     session_site site;
     site.configure();
     auto& agent = site.agents()[0];
+    const auto ask = [&site] {
+        for (int n = 0; n < 30; ++n) {
+            const auto reply = site.call(site.entries()[0], "POST", chat_path, {},
+                                         make_chat("Question " + std::to_string(n)));
+            cr_assert(reply.head.status == 200, "%s", reply.body.c_str());
+        }
+    };
+    const auto wait_for_state = [&site](const std::string& state) {
+        cr_assert(session_site::eventually(
+            [&] { return site.status(site.entries()[0])["links"][2]["state"] == state; }));
+    };
+    const auto list = [&agent](const std::string& state) {
+        return json{{"instances",
+                     {{{"instance", "agent-engine-1"},
+                       {"role", "agent"},
+                       {"data_centre", "oslo-1"},
+                       {"address", agent.proxy->address()},
+                       {"state", state}}}}};
+    };
+    site.control_platform("instances", list("leaving"));
+    wait_for_state("leaving");
+    auto before = site.received_by_engine(0);
+    ask();
+    cr_assert(site.received_by_engine(0) == before, "leaving by the instance list");
+
+    json spec{{"type", "engine"},
+              {"serves", "assistant"},
+              {"agent", agent.proxy->address()},
+              {"data_centre", "oslo-1"},
+              {"state", "leaving"}};
+    cr_assert(site.put("upstream", "engine-1", 4, spec).head.status == 200);
+    site.control_platform("instances", list("live"));
+    before = site.received_by_engine(0);
+    ask();
+    cr_assert(site.received_by_engine(0) == before, "leaving by configuration");
+
     agent.process->signal(SIGTERM);
-    for (int n = 0; n < 50; ++n) {
-        const auto reply = site.call(site.entries()[0], "POST", chat_path, {},
-                                     make_chat("Question " + std::to_string(n)));
-        cr_assert(reply.head.status == 200, "%s", reply.body.c_str());
-    }
+    ask();
     cr_assert(agent.process->wait() == 0, "%s", agent.process->log().c_str());
 }
+
+// Guards against an entry that cannot start, or that serves without configuration, while the log
+// is down.
+Test(session, entry_starts_from_its_peers_while_the_log_is_down)
+{
+    session_site site;
+    site.configure();
+    site.control_platform("faults", {{"outage", true}});
+    site.add_entry();
+    cr_assert(site.wait_until_connected());
+    const auto reply =
+        site.call(site.entries()[2], "POST", chat_path, {}, make_chat("Still serving?"));
+    cr_assert(reply.head.status == 200, "%s", reply.body.c_str());
+    const auto order = site.call(site.entries()[2], "POST", "/v1/services/desk/reorder",
+                                 {{"Idempotency-Key", "outage"}}, "{}");
+    cr_assert(order.head.status == 503 && site.runs("outage") == 0, "%s", order.body.c_str());
+    const auto change = site.put("model_group", "late", 0, {{"model", "boba-9b"}});
+    cr_assert(change.head.status == 503, "%s", change.body.c_str());
+}
