lease: Add the lease controller

Cause: only one process at a time may give orders to a group, also when it was paused across the end of its lease or the log lost its answers. Change: lease_controller contends for a lease in the log, renews it at a third of its length and counts it from before the record was sent; the fence is the offset at which the tenure began; rank_gate takes over the state of its engine and drops promises when either restarts.

--- a/Source/policy/lease_ledger.cxx
+++ b/Source/policy/lease_ledger.cxx
@@ -28,8 +28,12 @@
     }
     const bool is_truncated = this->first_offset_ > 1;
     const bool dropped_predecessor = is_truncated && record.previous_offset() < this->first_offset_;
+    const auto last = this->find(record.name());
+    const bool is_renewal = last.offset != 0 && !last.released && last.holder == record.holder() &&
+                            last.incarnation == record.incarnation();
     this->leases_[record.name()] = {
         .offset = offset,
+        .fence = is_renewal ? last.fence : offset,
         .holder = record.holder(),
         .incarnation = record.incarnation(),
         .time_to_live = std::chrono::milliseconds(record.ttl_ms()),
--- a/Source/policy/lease_ledger.h
+++ b/Source/policy/lease_ledger.h
@@ -11,7 +11,8 @@
 
 /// The last accepted record of one lease.
 struct lease_state {
-    std::uint64_t offset = 0; ///< the fence
+    std::uint64_t offset = 0;
+    std::uint64_t fence = 0; ///< offset of the record that began the holder's tenure
     std::string holder;
     std::uint64_t incarnation = 0;
     duration time_to_live{};
--- a/Source/policy/rank_gate.cxx
+++ b/Source/policy/rank_gate.cxx
@@ -9,12 +9,16 @@
     this->state_.incarnation = incarnation;
 }
 
-rank_gate::rank_gate(const rank_status& engine_state, std::uint64_t incarnation)
-    : state_(engine_state)
+void rank_gate::refresh(const rank_status& engine_state)
 {
-    this->state_.incarnation = incarnation;
-    this->state_.promised = {};
+    const auto promised =
+        engine_state.incarnation == this->state_.incarnation ? this->state_.promised : ballot{};
+    this->state_ = engine_state;
+    this->state_.promised = promised;
     this->state_.accepted = false;
+    if (this->loading_version_ == engine_state.prepared_version) {
+        this->loading_version_ = 0;
+    }
 }
 
 rank_status rank_gate::handle(const ballot& sender, std::uint64_t incarnation,
--- a/Source/policy/rank_gate.h
+++ b/Source/policy/rank_gate.h
@@ -62,11 +62,11 @@
     /// @param incarnation random number of this life of the agent
     explicit rank_gate(std::uint64_t incarnation);
 
-    /// Takes over the state of an engine that outlived its agent. Promises of the earlier agent
-    /// are covered by the new incarnation, for which no earlier command was meant.
-    /// @param engine_state maps, hold and steps as the engine reports them
-    /// @param incarnation random number of this life of the agent
-    rank_gate(const rank_status& engine_state, std::uint64_t incarnation);
+    /// Takes over maps, hold and steps as the engine of the rank reports them. If the engine or
+    /// the agent restarted, the incarnation differs and all promises are dropped: no command that
+    /// was meant for an earlier incarnation is obeyed any more.
+    /// @param engine_state what the engine reports, with the current incarnation
+    void refresh(const rank_status& engine_state);
 
     /// Obeys or refuses a command of a coordinator.
     /// @param sender ballot of the coordinator; a lower one than promised is refused
--- /dev/null
+++ b/Tests/controllers/test_lease_controller.cxx
@@ -0,0 +1,132 @@
+#include "controllers/lease_controller.h"
+
+#include <array>
+
+#include <criterion/criterion.h>
+
+#include "fakes/agent_fleet.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::controllers;
+using namespace std::chrono_literals;
+using medlaryoke::fakes::faulty_log;
+using medlaryoke::fakes::manual_executor;
+
+namespace {
+
+/// Two instances that contend for one lease over one log.
+struct lease_pair {
+    manual_executor executor;
+    faulty_log log;
+    std::array<std::shared_ptr<lease_controller>, 2> instances;
+
+    lease_pair()
+    {
+        for (std::uint64_t n = 0; n < this->instances.size(); ++n) {
+            this->instances[n] = std::make_shared<lease_controller>(
+                this->executor.clock, this->log,
+                [this](duration delay, std::function<void()> fn) {
+                    this->executor.timers.emplace(this->executor.clock.now() + delay,
+                                                  std::move(fn));
+                },
+                lease_controller_options{.name = "group/pearl",
+                                         .holder = n == 0 ? "a" : "b",
+                                         .incarnation = n + 1,
+                                         .time_to_live = 5s});
+            this->instances[n]->start();
+        }
+    }
+
+    void run(duration time)
+    {
+        constexpr duration step = 50ms;
+        for (auto passed = 0ns; passed < time; passed += step) {
+            this->executor.clock.advance(step);
+            // An answer may start a further read at once, so the number of actions is bounded.
+            for (int n = 0; n < 20 && (this->log.deliver() || this->executor.run_one()); ++n) {
+            }
+            this->check_single_holder();
+        }
+    }
+
+    void check_single_holder() const
+    {
+        cr_assert_not(this->instances[0]->fence() && this->instances[1]->fence(),
+                      "both instances hold the lease");
+    }
+
+    [[nodiscard]] int holders() const
+    {
+        return (this->instances[0]->fence() ? 1 : 0) + (this->instances[1]->fence() ? 1 : 0);
+    }
+};
+
+} // namespace
+
+// Guards against two holders in a race, and against a lease that lapses while its holder is well.
+Test(lease_controller, one_of_two_holds_and_renews)
+{
+    lease_pair it;
+    it.run(2s);
+    cr_assert(it.holders() == 1);
+    const auto fence =
+        it.instances[0]->fence() ? it.instances[0]->fence() : it.instances[1]->fence();
+    it.run(30s);
+    cr_assert(it.holders() == 1);
+    cr_assert(it.instances[0]->fence() == fence || it.instances[1]->fence() == fence);
+}
+
+// Guards against acting on a lease that lapsed during an outage of the log, and against a lease
+// that nobody can take afterwards.
+Test(lease_controller, lapses_in_an_outage_and_is_taken_again)
+{
+    lease_pair it;
+    it.run(2s);
+    it.log.mode = faulty_log::fault::outage;
+    it.run(10s);
+    cr_assert(it.holders() == 0);
+    it.log.mode = faulty_log::fault::none;
+    it.run(15s);
+    cr_assert(it.holders() == 1);
+}
+
+// Guards against a blind repeat after a lost answer: the record is found by reading.
+Test(lease_controller, holds_although_append_answers_are_lost)
+{
+    lease_pair it;
+    it.log.mode = faulty_log::fault::answer_lost;
+    it.run(20s);
+    cr_assert(it.holders() == 1);
+}
+
+// Guards against a record that is stored long after it was sent giving a lease that is over.
+Test(lease_controller, late_record_does_not_extend_the_lease)
+{
+    lease_pair it;
+    it.log.mode = faulty_log::fault::stored_late;
+    it.run(1s);
+    it.executor.clock.advance(6s);
+    it.log.mode = faulty_log::fault::none;
+    it.log.store_late_records();
+    // Until a renewal was sent, the late record is all that the instances have read.
+    const auto sent = it.log.appends;
+    for (int n = 0; n < 100 && it.log.appends == sent; ++n) {
+        it.executor.clock.advance(10ms);
+        if (!it.log.deliver()) {
+            it.executor.run_one();
+        }
+        cr_assert(it.holders() == 0);
+    }
+    cr_assert(it.log.appends > sent, "the late record was not read");
+}
+
+// Guards against waiting out the lease of an instance that has stopped in order.
+Test(lease_controller, released_lease_is_taken_at_once)
+{
+    lease_pair it;
+    it.run(2s);
+    const auto first = it.instances[0]->fence() ? 0 : 1;
+    it.instances[static_cast<std::size_t>(first)]->stop();
+    it.run(2s);
+    cr_assert(it.instances[static_cast<std::size_t>(1 - first)]->fence().has_value());
+}
--- a/Tests/policy/map_switch_model.cxx
+++ b/Tests/policy/map_switch_model.cxx
@@ -64,7 +64,9 @@
 map_switch_model::map_switch_model(limits bounds) : bounds_(bounds)
 {
     for (unsigned rank = 0; rank < rank_count; ++rank) {
-        this->gates_.emplace_back(running_state(), rank + 1);
+        auto state = running_state();
+        state.incarnation = rank + 1;
+        this->gates_.emplace_back(state.incarnation).refresh(state);
     }
     this->coordinators_.emplace_back(rank_count, ballot{1, 0, 1}, second_map, 1s, time_point{});
     this->coordinators_.emplace_back(rank_count, ballot{2, 0, 2}, third_map, 1s, time_point{});
--- a/Tests/policy/test_map_switch.cxx
+++ b/Tests/policy/test_map_switch.cxx
@@ -76,7 +76,8 @@
         running.next_step = 10;
         running.completed_step = 9;
         for (unsigned n = 0; n < ranks; ++n) {
-            this->gates.emplace_back(running, n + 1);
+            running.incarnation = n + 1;
+            this->gates.emplace_back(running.incarnation).refresh(running);
         }
     }
 
