standins: Test the stand-ins

Measurements rest on their priorities, prefix caches, fences, lags and limits, and on caller_load noticing broken, refused and wrong answers.

--- /dev/null
+++ b/Tests/StandIns/test_standins.cxx
@@ -0,0 +1,240 @@
+#include <atomic>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include "StandIns/caller_load.h"
+#include "StandIns/engine_standin.h"
+#include "StandIns/platform_standin.h"
+#include "StandIns/service_standin.h"
+#include "transport/error_response.h"
+#include "transport/http_pair.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::standins;
+using namespace medlaryoke::transport;
+using nlohmann::json;
+
+namespace {
+
+/// One stand-in and a client of it.
+template <typename Standin, typename Options>
+struct setup {
+    explicit setup(Options options = {})
+        : standin(context, std::move(options)), client(context, standin.address())
+    {
+        context.start();
+    }
+    setup(const setup&) = delete;
+    setup& operator=(const setup&) = delete;
+    setup(setup&&) = delete;
+    setup& operator=(setup&&) = delete;
+    ~setup() { context.stop(); }
+
+    http_response ask(const std::string& method, const std::string& target, const json& body = {})
+    {
+        return reply(client, {method, target, {}, body.is_null() ? "" : body.dump()});
+    }
+
+    json get(const std::string& target) { return json::parse(this->ask("GET", target).body); }
+
+    runtime context{2};
+    Standin standin;
+    http_client client;
+};
+
+using engine_setup = setup<engine_standin, engine_options>;
+
+engine_options fast_engine()
+{
+    engine_options options;
+    options.step_time = std::chrono::milliseconds(1);
+    return options;
+}
+
+json chat(const std::string& text, int tokens, int priority = 0)
+{
+    return {{"messages", json::array({{{"role", "user"}, {"content", text}}})},
+            {"max_tokens", tokens},
+            {"priority", priority}};
+}
+
+/// Runs caller_load and waits for its summary of the class `name`.
+json run_load(runtime& context, const std::string& address, bool direct, const json& workload)
+{
+    caller_load_options options;
+    options.addresses = {address};
+    options.direct = direct;
+    options.classes = parse_workload({{"classes", json::array({workload})}});
+    options.run_time = std::chrono::milliseconds(300);
+    std::promise<json> done;
+    caller_load load(context, options);
+    load.start([&done](json summary) { done.set_value(std::move(summary)); });
+    return done.get_future().get()["classes"][options.classes.front().name];
+}
+
+} // namespace
+
+// Guards against measurements of answers that are not the whole and right ones.
+Test(engine_standin, answers_whole_to_every_caller)
+{
+    engine_setup engine(fast_engine());
+    for (const bool stream : {true, false}) {
+        const auto result = run_load(engine.context, engine.standin.address(), true,
+                                     {{"name", "c"}, {"concurrency", 20}, {"stream", stream}});
+        cr_assert(result["sent"] > 0);
+        cr_assert(result["outcomes"] == json({{"answered", result["sent"]}}));
+    }
+}
+
+// Guards against a queue that ignores priorities, and a cancel that keeps its slot.
+Test(engine_standin, admits_by_priority_and_frees_cancelled_slots)
+{
+    auto options = fast_engine();
+    options.slots = 1;
+    engine_setup engine(options);
+    constexpr int endless = 4096;
+    const auto start = [&engine](const std::string& id, int tokens, int priority,
+                                 std::function<void()> done) {
+        engine.client.fetch({"POST",
+                             "/v1/chat/completions",
+                             {{"X-Request-Id", id}},
+                             chat(id, tokens, priority).dump()},
+                            {}, [done](const fetch_result&) { done(); });
+        while (engine.get("/control/stats")["received"] < (id == "first" ? 1 : 2)) {
+        }
+    };
+    std::mutex mutex;
+    std::vector<std::string> order;
+    std::promise<void> both;
+    const auto note = [&](const std::string& id) {
+        return [&, id] {
+            const std::scoped_lock lock(mutex);
+            order.push_back(id);
+            if (order.size() == 3) {
+                both.set_value();
+            }
+        };
+    };
+    start("first", endless, 5, note("first"));
+    start("batch", 1, 2, note("batch"));
+    while (engine.get("/control/stats")["queued"] != 1) {
+    }
+    start("urgent", 1, 0, note("urgent"));
+    while (engine.get("/control/stats")["queued"] != 2) {
+    }
+    cr_assert(engine.ask("POST", "/cancel/first").body == R"({"cancelled":true})");
+    both.get_future().get();
+    cr_assert(order == std::vector<std::string>({"first", "urgent", "batch"}));
+    cr_assert(engine.ask("POST", "/cancel/first").body == R"({"cancelled":false})");
+}
+
+// Guards against a prefix cache without hits, without evictions or without events.
+Test(engine_standin, caches_prefixes_and_tells_events)
+{
+    auto options = fast_engine();
+    options.cache_blocks = 4;
+    engine_setup engine(options);
+    const std::string prefix(187, 'p'); // three blocks with the role
+    engine.ask("POST", "/v1/chat/completions", chat(prefix + "a", 1));
+    cr_assert(engine.get("/control/stats")["cached_tokens"] == 0);
+    engine.ask("POST", "/v1/chat/completions", chat(prefix + "b", 1));
+    cr_assert(engine.get("/control/stats")["cached_tokens"] == 48);
+    engine.ask("POST", "/v1/chat/completions", chat(std::string(187, 'q'), 1));
+    const auto events = engine.get("/cache-events?from=4")["events"];
+    cr_assert(events.size() == 5); // three stored and two evicted
+    cr_assert(events[0]["sequence"] == 4 && events[0]["type"] == "stored");
+    cr_assert(events[4]["sequence"] == 8 && events[4]["type"] == "evicted");
+}
+
+// Guards against fences that are not checked, or are checked by an engine that should ignore them.
+Test(engine_standin, checks_fences_if_told_to)
+{
+    for (const bool checks : {true, false}) {
+        auto options = fast_engine();
+        options.checks_fences = checks;
+        engine_setup engine(options);
+        json order{{"action", "load_model"}, {"argument", "m"}, {"fence", 7}};
+        cr_assert(engine.ask("POST", "/orders", order).head.status == 200);
+        order["fence"] = 6;
+        cr_assert(engine.ask("POST", "/orders", order).head.status == (checks ? 409 : 200));
+        cr_assert(engine.get("/control/orders")["orders"].size() == (checks ? 1 : 2));
+    }
+}
+
+// Guards against faults of an engine that caller_load does not notice.
+Test(caller_load, tells_broken_and_refused_answers)
+{
+    engine_setup engine(fast_engine());
+    engine.ask("PUT", "/control/faults", {{"break_after_tokens", 3}});
+    const json workload{{"name", "c"}, {"concurrency", 2}};
+    auto result = run_load(engine.context, engine.standin.address(), true, workload);
+    cr_assert(result["outcomes"] == json({{"broken", result["sent"]}}));
+    engine.ask("PUT", "/control/faults", {{"break_after_tokens", 0}, {"fail_status", 429}});
+    result = run_load(engine.context, engine.standin.address(), true, workload);
+    cr_assert(result["outcomes"] == json({{"status_429", result["sent"]}}));
+}
+
+// Guards against addresses that are not asked for, and against answers that caller_load takes for
+// right although an entry spoilt them.
+Test(caller_load, asks_for_addresses_and_checks_answers)
+{
+    std::string address;
+    std::atomic<int> asked = 0;
+    http_pair entry([&](const http_request& request, const std::shared_ptr<response_stream>& out) {
+        if (request.target == "/v1/entries") {
+            ++asked;
+            const json body{{"entries", json::array({{{"address", address}}})}, {"ttl_ms", 1}};
+            out->respond(make_json_response(200, body.dump()));
+            return;
+        }
+        const bool call = request.target == "/v1/services/desk/call";
+        auto response = make_json_response(call ? 503 : 200, R"({"body_digest":"x"})");
+        if (call) {
+            response.head.headers.push_back({"Medlaryoke-Outcome", "not-run"});
+        }
+        out->respond(std::move(response));
+    });
+    address = entry.server.address();
+    auto result = run_load(entry.context, address, false,
+                           {{"name", "c"}, {"kind", "service"}, {"service", "desk"}});
+    cr_assert(result["outcomes"] == json({{"not-run", result["sent"]}}));
+    result = run_load(entry.context, address, false, {{"name", "c"}});
+    cr_assert(result["outcomes"] == json({{"wrong_answer", result["sent"]}}));
+    cr_assert(asked > 2);
+}
+
+// Guards against runs of a call that are not counted, above all those without an answer.
+Test(service_standin, counts_runs_without_an_answer)
+{
+    setup<service_standin, service_options> service;
+    const http_request call{"POST", "/pay", {{"Idempotency-Key", "k"}}, "x"};
+    service.ask("PUT", "/control/faults", {{"close_before_answer", 1}});
+    cr_assert(failure(service.client, call).maybe_sent);
+    cr_assert(json::parse(reply(service.client, call).body)["run"] == 2);
+    cr_assert(service.get("/control/runs")["runs"]["k"] == 2);
+}
+
+// Guards against a list without its lag and a limit on appends that is not kept.
+Test(platform_standin, keeps_its_lag_and_limits)
+{
+    platform_options options;
+    options.list_lag = std::chrono::hours(1);
+    options.appends_per_second = 0.001;
+    setup<platform_standin, platform_options> platform(options);
+    const json list{{"instances", json::array({{{"instance", "a"}}})}};
+    platform.ask("PUT", "/control/instances", list);
+    cr_assert(platform.get("/instances")["instances"].empty());
+    platform.ask("PUT", "/control/faults", {{"list_lag_ms", 0}});
+    cr_assert(platform.get("/instances") == list);
+    cr_assert(platform.ask("POST", "/streams/s/records").head.status == 200);
+    cr_assert(platform.ask("POST", "/streams/s/records").head.status == 429);
+    cr_assert(platform.get("/control/stats") == json({{"appended", 1}, {"rejected", 1}}));
+    cr_assert(platform.ask("GET", "/weights/m/0/1").body.size() == options.weight_bytes);
+}
