--- a/Tests/StandIns/test_standins.cxx
+++ b/Tests/StandIns/test_standins.cxx
@@ -101,7 +101,7 @@
     engine_setup engine(options);
     constexpr int endless = 4096;
     const auto start = [&engine](const std::string& id, int tokens, int priority,
-                                 std::function<void()> done) {
+                                 const std::function<void()>& done) {
         engine.client.fetch({"POST",
                              "/v1/chat/completions",
                              {{"X-Request-Id", id}},
