transport: Keep the running wait when a time limit moves

Each chunk moved a limit by setting its timer again, and each cancelled wait ran a handler. Now the wait goes on and the limit is checked when it ends.

--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -8,13 +8,13 @@
 #include <exception>
 #include <limits>
 #include <mutex>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,6 +24,7 @@
 #include <fmt/format.h>
 
 #include "base/logging.h"
+#include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
 #include "transport/tcp_address.h"
 
@@ -159,7 +160,7 @@
 public:
     explicit client_connection(std::shared_ptr<client_pool> pool)
         : pool_(std::move(pool)), socket_(asio::make_strand(pool_->context)),
-          timer_(socket_.get_executor())
+          deadline_(socket_.get_executor(), [this] { this->timed_out(); })
     {
     }
 
@@ -194,13 +195,15 @@
     void got_body(const error_code& ec);
     void complete();
     void fail(error_kind kind, const std::string& what);
-    void timed_out(const std::string& what, duration limit);
-    void arm(duration limit, std::string what);
+    void timed_out();
+    void set_limit(duration limit, std::string_view waiting_for);
     [[nodiscard]] bool stale();
 
     std::shared_ptr<client_pool> pool_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    moving_deadline deadline_;
+    duration limit_{};
+    std::string_view waiting_for_;
     phase phase_ = phase::fresh;
     std::shared_ptr<client_exchange> exchange_;
     http_timeouts timeouts_;
@@ -232,19 +235,14 @@
     }
 }
 
-void client_connection::arm(duration limit, std::string what)
+void client_connection::set_limit(duration limit, std::string_view waiting_for)
 {
-    this->timer_.expires_after(limit);
-    this->timer_.async_wait(
-        [self = this->shared_from_this(), limit, what = std::move(what)](const error_code& ec) {
-            // A timer that was set again after it had expired still delivers its old success.
-            if (!ec && self->timer_.expiry() <= asio::steady_timer::clock_type::now()) {
-                self->timed_out(what, limit);
-            }
-        });
+    this->limit_ = limit;
+    this->waiting_for_ = waiting_for;
+    this->deadline_.set(limit, this->shared_from_this());
 }
 
-void client_connection::timed_out(const std::string& what, duration limit)
+void client_connection::timed_out()
 {
     if (this->phase_ != phase::connecting && this->phase_ != phase::exchanging) {
         return;
@@ -258,9 +256,10 @@
     for (const auto& connection : retired) {
         asio::post(connection->executor(), [connection] { connection->close(); });
     }
-    this->fail(error_kind::deadline_exceeded,
-               fmt::format("{} took longer than {} ms", what,
-                           std::chrono::duration_cast<std::chrono::milliseconds>(limit).count()));
+    this->fail(
+        error_kind::deadline_exceeded,
+        fmt::format("{} took longer than {} ms", this->waiting_for_,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(this->limit_).count()));
 }
 
 void client_connection::close()
@@ -271,7 +270,7 @@
     this->phase_ = phase::closed;
     error_code ec;
     this->socket_.close(ec);
-    this->timer_.cancel();
+    this->deadline_.close();
     const auto exchange = std::exchange(this->exchange_, nullptr);
     {
         const std::scoped_lock lock(this->pool_->mutex);
@@ -341,7 +340,7 @@
 void client_connection::connect()
 {
     this->phase_ = phase::connecting;
-    this->arm(this->timeouts_.connect, "connecting");
+    this->set_limit(this->timeouts_.connect, "connecting");
     this->socket_.async_connect(
         this->pool_->endpoint, [self = this->shared_from_this()](const error_code& ec) {
             if (self->phase_ != phase::connecting) {
@@ -363,7 +362,7 @@
     this->writing_ = true;
     this->write_failed_ = false;
     this->parser_.reset();
-    this->arm(this->timeouts_.write, "sending the request");
+    this->set_limit(this->timeouts_.write, "sending the request");
     asio::async_write(this->socket_, asio::buffer(this->outgoing_),
                       [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                           self->wrote(ec, n);
@@ -387,7 +386,7 @@
     // A server may refuse a request before it has read all of it, so its reply is still read.
     this->write_failed_ = static_cast<bool>(ec);
     if (!this->reading_) {
-        this->arm(this->timeouts_.first_byte, "waiting for the reply");
+        this->set_limit(this->timeouts_.first_byte, "waiting for the reply");
     }
 }
 
@@ -454,7 +453,7 @@
         this->read_head();
         return;
     }
-    this->arm(this->timeouts_.between_bytes, "waiting for the rest of the reply");
+    this->set_limit(this->timeouts_.between_bytes, "waiting for the rest of the reply");
     http_head head;
     head.status = message.result_int();
     for (const auto& field : message) {
@@ -498,7 +497,7 @@
         this->complete();
         return;
     }
-    this->arm(this->timeouts_.between_bytes, "waiting for the rest of the reply");
+    this->set_limit(this->timeouts_.between_bytes, "waiting for the rest of the reply");
     this->read_body();
 }
 
@@ -512,7 +511,7 @@
         exchange->end();
         return;
     }
-    this->timer_.cancel();
+    this->deadline_.clear();
     this->parser_.reset();
     this->reading_ = false;
     this->exchange_.reset();
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -26,6 +26,7 @@
 
 #include "base/logging.h"
 #include "transport/error_response.h"
+#include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
 #include "transport/tcp_address.h"
 
@@ -117,8 +118,10 @@
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_state> state)
-        : socket_(std::move(socket)), read_timer_(socket_.get_executor()),
-          write_timer_(socket_.get_executor()), state_(std::move(state))
+        : socket_(std::move(socket)),
+          read_deadline_(socket_.get_executor(), [this] { this->close(); }),
+          write_deadline_(socket_.get_executor(), [this] { this->close(); }),
+          state_(std::move(state))
     {
         ++this->state_->open;
     }
@@ -169,11 +172,10 @@
     void wrote(const error_code& ec, std::size_t n);
     void reply_written();
     void linger();
-    void arm(asio::steady_timer& timer, duration limit);
 
     tcp::socket socket_;
-    asio::steady_timer read_timer_;
-    asio::steady_timer write_timer_;
+    moving_deadline read_deadline_;
+    moving_deadline write_deadline_;
     std::shared_ptr<server_state> state_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<http::request_parser<http::string_body>> parser_;
@@ -339,19 +341,6 @@
     bool client_gone_ = false;
 };
 
-void server_connection::arm(asio::steady_timer& timer, duration limit)
-{
-    timer.expires_after(limit);
-    timer.async_wait([self = this->shared_from_this(), &timer](const error_code& ec) {
-        // A timer that was set again or cancelled after it had expired still delivers its success.
-        const bool waiting =
-            &timer == &self->write_timer_ ? self->writing_ : self->phase_ != phase::handling;
-        if (!ec && waiting && timer.expiry() <= asio::steady_timer::clock_type::now()) {
-            self->close();
-        }
-    });
-}
-
 void server_connection::close()
 {
     if (this->phase_ == phase::closed) {
@@ -361,8 +350,8 @@
     error_code ec;
     this->socket_.shutdown(tcp::socket::shutdown_both, ec);
     this->socket_.close(ec);
-    this->read_timer_.cancel();
-    this->write_timer_.cancel();
+    this->read_deadline_.close();
+    this->write_deadline_.close();
     if (const auto stream = this->stream_.lock()) {
         stream->client_gone();
     }
@@ -388,7 +377,7 @@
         this->close();
         return;
     }
-    this->arm(this->read_timer_, this->state_->options.idle_timeout);
+    this->read_deadline_.set(this->state_->options.idle_timeout, this->shared_from_this());
     this->watch();
 }
 
@@ -437,7 +426,7 @@
     this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
     this->parser_->header_limit(static_cast<std::uint32_t>(this->state_->options.max_header_bytes));
     this->parser_->body_limit(this->state_->options.max_body_bytes);
-    this->arm(this->read_timer_, this->state_->options.request_timeout);
+    this->read_deadline_.set(this->state_->options.request_timeout, this->shared_from_this());
     http::async_read_header(
         this->socket_, this->buffer_, *this->parser_,
         [self = this->shared_from_this()](const error_code& ec, std::size_t) {
@@ -504,7 +493,7 @@
 void server_connection::hand_over()
 {
     this->phase_ = phase::handling;
-    this->read_timer_.cancel();
+    this->read_deadline_.clear();
     this->reply_ended_ = false;
     auto message = this->parser_->release();
     const auto text = [](boost::beast::string_view view) {
@@ -606,7 +595,7 @@
     }
     this->writing_ = true;
     this->in_write_ = std::exchange(this->outgoing_, {});
-    this->arm(this->write_timer_, this->state_->options.write_timeout);
+    this->write_deadline_.set(this->state_->options.write_timeout, this->shared_from_this());
     asio::async_write(this->socket_, asio::buffer(this->in_write_),
                       [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                           self->wrote(ec, n);
@@ -624,7 +613,7 @@
         this->close();
         return;
     }
-    this->write_timer_.cancel();
+    this->write_deadline_.clear();
     this->write_queued();
 }
 
@@ -645,7 +634,7 @@
     error_code ec;
     this->socket_.shutdown(tcp::socket::shutdown_send, ec);
     this->buffer_.clear();
-    this->arm(this->read_timer_, linger_time);
+    this->read_deadline_.set(linger_time, this->shared_from_this());
     this->watch();
 }
 
