--- a/Source/transport/moving_deadline.cxx
+++ b/Source/transport/moving_deadline.cxx
@@ -4,9 +4,9 @@
 
 namespace medlaryoke::transport {
 
-moving_deadline::moving_deadline(boost::asio::any_io_executor executor,
+moving_deadline::moving_deadline(const boost::asio::any_io_executor& executor,
                                  std::function<void()> on_expired)
-    : timer_(std::move(executor)), on_expired_(std::move(on_expired))
+    : timer_(executor), on_expired_(std::move(on_expired))
 {
 }
 
--- a/Source/transport/moving_deadline.h
+++ b/Source/transport/moving_deadline.h
@@ -20,7 +20,7 @@
 public:
     /// @param executor the strand
     /// @param on_expired called when the limit has passed; may use the owner given to set
-    moving_deadline(boost::asio::any_io_executor executor, std::function<void()> on_expired);
+    moving_deadline(const boost::asio::any_io_executor& executor, std::function<void()> on_expired);
 
     /// Starts or moves the limit.
     /// @param limit time from now
