--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -24,6 +24,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
+#include "base/duration_text.h"
 #include "base/logging.h"
 #include "transport/error_response.h"
 #include "transport/moving_deadline.h"
@@ -119,7 +120,7 @@
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_state> state)
         : socket_(std::move(socket)),
-          read_deadline_(socket_.get_executor(), [this] { this->close(); }),
+          read_deadline_(socket_.get_executor(), [this] { this->read_expired(); }),
           write_deadline_(socket_.get_executor(), [this] { this->close(); }),
           state_(std::move(state))
     {
@@ -164,6 +165,7 @@
     void receive();
     void receive_body();
     void receive_failed(const error_code& ec);
+    void read_expired();
     void hand_over();
     void watch();
     void watched(const error_code& ec, std::size_t n);
@@ -183,6 +185,7 @@
     reply_framing framing_;
     phase phase_ = phase::idle;
     bool watching_ = false;
+    bool too_slow_ = false; ///< the current request did not arrive in time
     bool reply_ended_ = false;
     std::string outgoing_;
     std::string in_write_;
@@ -422,6 +425,7 @@
 void server_connection::receive()
 {
     this->phase_ = phase::receiving;
+    this->too_slow_ = false;
     this->framing_ = {};
     this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
     this->parser_->header_limit(static_cast<std::uint32_t>(this->state_->options.max_header_bytes));
@@ -459,6 +463,17 @@
                      });
 }
 
+void server_connection::read_expired()
+{
+    if (this->phase_ != phase::receiving) {
+        this->close();
+        return;
+    }
+    this->too_slow_ = true;
+    error_code ec;
+    this->socket_.cancel(ec); // the pending read ends in receive_failed
+}
+
 void server_connection::receive_failed(const error_code& ec)
 {
     const auto& limits = this->state_->options;
@@ -467,7 +482,13 @@
     const auto reply = [this](const error& failure) {
         this->send_whole(make_error_response(failure));
     };
-    if (ec == http::error::header_limit) {
+    if (this->too_slow_) {
+        reply(error(error_kind::deadline_exceeded,
+                    fmt::format("request did not arrive whole within {}",
+                                format_duration(limits.request_timeout)),
+                    "Send the whole request at once."));
+    }
+    else if (ec == http::error::header_limit) {
         reply(error(
             error_kind::too_large,
             fmt::format("request header exceeds the limit of {} bytes", limits.max_header_bytes),
--- a/Tests/StandIns/answer_check.cxx
+++ b/Tests/StandIns/answer_check.cxx
@@ -25,8 +25,8 @@
 
 } // namespace
 
-answer_check::answer_check(std::string expected, bool is_chat)
-    : expected_(std::move(expected)), is_chat_(is_chat),
+answer_check::answer_check(std::string expected, bool is_chat, bool from_entry)
+    : expected_(std::move(expected)), is_chat_(is_chat), from_entry_(from_entry),
       reader_(
           [this](const std::string& name, const std::string& data) { this->add_event(name, data); })
 {
@@ -89,7 +89,7 @@
         if (!this->done_) {
             return "incomplete";
         }
-        return this->text_ == this->expected_ ? "answered" : "wrong_answer";
+        return this->compare(this->text_);
     }
     return this->end_body();
 }
@@ -100,8 +100,16 @@
     if (!body.is_object()) {
         return "incomplete";
     }
-    const auto got = text_at(body, this->is_chat_ ? "/choices/0/message/content" : "/body_digest");
-    return got == this->expected_ ? "answered" : "wrong_answer";
+    return this->compare(
+        text_at(body, this->is_chat_ ? "/choices/0/message/content" : "/body_digest"));
+}
+
+std::string answer_check::compare(const std::string& answer) const
+{
+    if (answer != this->expected_) {
+        return "wrong_answer";
+    }
+    return this->from_entry_ && this->outcome_ != "answered" ? "no_outcome" : "answered";
 }
 
 std::string answer_check::fail(const transport::http_failure& failure)
--- a/Tests/StandIns/caller_load.cxx
+++ b/Tests/StandIns/caller_load.cxx
@@ -45,17 +45,22 @@
 
 /// One request from its first try to its end.
 struct attempt {
-    attempt(prepared_request made, bool is_chat)
+    attempt(prepared_request made, bool is_chat, bool from_entry)
         : request(std::move(made.request)), expected(std::move(made.expected)), chat(is_chat),
-          check(std::make_unique<answer_check>(expected, is_chat))
+          entry(from_entry)
     {
+        this->restart();
     }
 
-    void restart() { this->check = std::make_unique<answer_check>(this->expected, this->chat); }
+    void restart()
+    {
+        this->check = std::make_unique<answer_check>(this->expected, this->chat, this->entry);
+    }
 
     transport::http_request request;
     std::string expected;
     bool chat;
+    bool entry;
     std::unique_ptr<answer_check> check;
     std::shared_ptr<transport::http_client> client;
     time_point started = now();
@@ -181,7 +186,8 @@
             const std::scoped_lock lock(target->mutex);
             const auto made = target->maker.make();
             for (std::size_t n = 0; n <= target->spec.duplicates; ++n) {
-                attempts.push_back(std::make_shared<attempt>(made, target->spec.is_chat));
+                attempts.push_back(
+                    std::make_shared<attempt>(made, target->spec.is_chat, !this->options_.direct));
                 ++target->open;
             }
         }
--- a/Tests/StandIns/test_standins.cxx
+++ b/Tests/StandIns/test_standins.cxx
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
+#include "base/digest.h"
 #include "StandIns/caller_load.h"
 #include "StandIns/engine_standin.h"
 #include "StandIns/platform_standin.h"
@@ -194,17 +195,22 @@
             out->respond(make_json_response(200, body.dump()));
             return;
         }
-        const bool call = request.target == "/v1/services/desk/call";
-        auto response = make_json_response(call ? 503 : 200, R"({"body_digest":"x"})");
-        if (call) {
+        // A refused call, a call whose outcome is missing, and a chat with a wrong answer.
+        const bool refused = request.target == "/v1/services/desk/refused";
+        const json body{{"body_digest", to_string(hash128(request.body))}};
+        auto response = make_json_response(refused ? 503 : 200, body.dump());
+        if (refused) {
             response.head.headers.push_back({"Medlaryoke-Outcome", "not-run"});
         }
         out->respond(std::move(response));
     });
     address = entry.server.address();
-    auto result = run_load(entry.context, address, false,
-                           {{"name", "c"}, {"kind", "service"}, {"service", "desk"}});
+    json call{{"name", "c"}, {"kind", "service"}, {"service", "desk"}, {"path", "/refused"}};
+    auto result = run_load(entry.context, address, false, call);
     cr_assert(result["outcomes"] == json({{"not-run", result["sent"]}}));
+    call["path"] = "/silent";
+    result = run_load(entry.context, address, false, call);
+    cr_assert(result["outcomes"] == json({{"no_outcome", result["sent"]}}));
     result = run_load(entry.context, address, false, {{"name", "c"}});
     cr_assert(result["outcomes"] == json({{"wrong_answer", result["sent"]}}));
     cr_assert(asked > 2);
--- a/Tests/transport/test_http_server.cxx
+++ b/Tests/transport/test_http_server.cxx
@@ -166,6 +166,19 @@
     cr_assert(reply(pair.client, {"GET", "/", {}, {}}).body == "GET/");
 }
 
+// Guards against a client that holds a connection by sending its request slowly or not at all.
+Test(http_server, closes_slow_and_idle_connections)
+{
+    http_server_options options;
+    options.request_timeout = std::chrono::milliseconds(50);
+    options.idle_timeout = std::chrono::milliseconds(50);
+    http_pair pair(echo, options);
+    expect_error(send_raw(pair.server, "POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nab"), 504,
+                 "deadline_exceeded", "not-run");
+    expect_error(send_raw(pair.server, "GET / HT"), 504, "deadline_exceeded", "not-run");
+    cr_assert(send_raw(pair.server, "").empty());
+}
+
 // Guards against requests sent ahead that are lost or answered out of order.
 Test(http_server, answers_pipelined_requests_in_order)
 {
