--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -108,7 +108,10 @@
 class client_exchange final : public http_exchange,
                               public std::enable_shared_from_this<client_exchange> {
 public:
-    explicit client_exchange(http_events events) : events_(std::move(events)) {}
+    client_exchange(http_events events, std::shared_ptr<const std::atomic<bool>> client_gone)
+        : events_(std::move(events)), client_gone_(std::move(client_gone))
+    {
+    }
 
     void cancel() override;
 
@@ -118,38 +121,42 @@
         this->connection_ = connection;
     }
 
-    [[nodiscard]] bool over() const { return this->over_; }
+    [[nodiscard]] bool over() const { return this->over_ || *this->client_gone_; }
 
     void head(const http_head& value)
     {
-        if (!this->over_ && this->events_.on_head) {
+        if (!this->over() && this->events_.on_head) {
             run_callback([&] { this->events_.on_head(value); });
         }
     }
 
     void data(std::string value)
     {
-        if (!this->over_ && this->events_.on_data) {
+        if (!this->over() && this->events_.on_data) {
             run_callback([&] { this->events_.on_data(std::move(value)); });
         }
     }
 
     void end()
     {
-        if (!this->over_.exchange(true) && this->events_.on_end) {
+        if (this->finish() && this->events_.on_end) {
             run_callback([&] { this->events_.on_end(); });
         }
     }
 
     void failure(const http_failure& value)
     {
-        if (!this->over_.exchange(true) && this->events_.on_failure) {
+        if (this->finish() && this->events_.on_failure) {
             run_callback([&] { this->events_.on_failure(value); });
         }
     }
 
 private:
+    /// @return whether this call ended the exchange
+    bool finish() { return !this->over_.exchange(true) && !*this->client_gone_; }
+
     http_events events_;
+    std::shared_ptr<const std::atomic<bool>> client_gone_;
     std::atomic<bool> over_ = false;
     std::mutex mutex_;
     std::weak_ptr<client_connection> connection_;
@@ -580,7 +587,7 @@
     std::shared_ptr<http_exchange> send(const http_request& request, const http_timeouts& timeouts,
                                         http_events events)
     {
-        const auto exchange = std::make_shared<client_exchange>(std::move(events));
+        const auto exchange = std::make_shared<client_exchange>(std::move(events), this->gone_);
         if (has_line_break(request)) {
             asio::post(this->pool_->context, [exchange] {
                 exchange->failure({error_kind::invalid_argument,
@@ -604,6 +611,7 @@
 
     void close()
     {
+        *this->gone_ = true;
         std::unordered_set<std::shared_ptr<client_connection>> connections;
         {
             const std::scoped_lock lock(this->pool_->mutex);
@@ -619,6 +627,7 @@
 
 private:
     std::shared_ptr<client_pool> pool_;
+    std::shared_ptr<std::atomic<bool>> gone_ = std::make_shared<std::atomic<bool>>(false);
 };
 
 http_client::http_client(runtime& context, const std::string& address,
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -44,7 +44,7 @@
     http_exchange& operator=(http_exchange&&) = delete;
     virtual ~http_exchange() = default;
 
-    /// Closes the connection. No event follows the return of a pending one.
+    /// Closes the connection. No event begins afterwards; one that has begun may still be running.
     virtual void cancel() = 0;
 };
 
@@ -63,7 +63,7 @@
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
 
-    /// Closes all connections; exchanges that still run get no further event.
+    /// Closes all connections. No event begins afterwards; one that has begun may still be running.
     ~http_client();
 
     /// Sends a request and streams the reply.
