--- a/Source/transport/message_channel.h
+++ b/Source/transport/message_channel.h
@@ -41,6 +41,7 @@
     /// Queues a frame; thread safe. Frames to a connection that is gone are dropped.
     /// @param connection the receiver
     /// @param frame the frame
+    /// @throws error of kind too_large if the frame exceeds max_frame_bytes
     void send(const connection_id& connection, wire::frame frame);
 
     class implementation;
@@ -60,7 +61,8 @@
     duration silence_limit = std::chrono::milliseconds(1500);
 };
 
-/// ZeroMQ DEALER connected to one server. Keeps no frames of an earlier connection.
+/// ZeroMQ DEALER connected to one server. Makes one connection only and keeps no frames of an
+/// earlier one: a connection that is refused or lost is replaced by reconnect(), not by itself.
 class message_client {
 public:
     /// @param context runs the callbacks
@@ -78,6 +80,7 @@
     /// Queues a frame; thread safe, in order.
     /// @param frame the frame
     /// @return false if nothing was handed to the connection, so that the frame cannot arrive
+    /// @throws error of kind too_large if the frame exceeds max_frame_bytes
     bool send(wire::frame frame);
 
     /// Drops the connection with its unsent frames and opens a new one.
