--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -24,8 +24,10 @@
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
+#include "base/duration_text.h"
 #include "base/logging.h"
 #include "transport/error_response.h"
+#include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
 #include "transport/tcp_address.h"
 
@@ -117,8 +119,10 @@
 class server_connection : public std::enable_shared_from_this<server_connection> {
 public:
     server_connection(tcp::socket socket, std::shared_ptr<server_state> state)
-        : socket_(std::move(socket)), read_timer_(socket_.get_executor()),
-          write_timer_(socket_.get_executor()), state_(std::move(state))
+        : socket_(std::move(socket)),
+          read_deadline_(socket_.get_executor(), [this] { this->read_expired(); }),
+          write_deadline_(socket_.get_executor(), [this] { this->close(); }),
+          state_(std::move(state))
     {
         ++this->state_->open;
     }
@@ -161,6 +165,7 @@
     void receive();
     void receive_body();
     void receive_failed(const error_code& ec);
+    void read_expired();
     void hand_over();
     void watch();
     void watched(const error_code& ec, std::size_t n);
@@ -169,11 +174,10 @@
     void wrote(const error_code& ec, std::size_t n);
     void reply_written();
     void linger();
-    void arm(asio::steady_timer& timer, duration limit);
 
     tcp::socket socket_;
-    asio::steady_timer read_timer_;
-    asio::steady_timer write_timer_;
+    moving_deadline read_deadline_;
+    moving_deadline write_deadline_;
     std::shared_ptr<server_state> state_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<http::request_parser<http::string_body>> parser_;
@@ -181,6 +185,7 @@
     reply_framing framing_;
     phase phase_ = phase::idle;
     bool watching_ = false;
+    bool too_slow_ = false; ///< the current request did not arrive in time
     bool reply_ended_ = false;
     std::string outgoing_;
     std::string in_write_;
@@ -339,19 +344,6 @@
     bool client_gone_ = false;
 };
 
-void server_connection::arm(asio::steady_timer& timer, duration limit)
-{
-    timer.expires_after(limit);
-    timer.async_wait([self = this->shared_from_this(), &timer](const error_code& ec) {
-        // A timer that was set again or cancelled after it had expired still delivers its success.
-        const bool waiting =
-            &timer == &self->write_timer_ ? self->writing_ : self->phase_ != phase::handling;
-        if (!ec && waiting && timer.expiry() <= asio::steady_timer::clock_type::now()) {
-            self->close();
-        }
-    });
-}
-
 void server_connection::close()
 {
     if (this->phase_ == phase::closed) {
@@ -361,8 +353,8 @@
     error_code ec;
     this->socket_.shutdown(tcp::socket::shutdown_both, ec);
     this->socket_.close(ec);
-    this->read_timer_.cancel();
-    this->write_timer_.cancel();
+    this->read_deadline_.close();
+    this->write_deadline_.close();
     if (const auto stream = this->stream_.lock()) {
         stream->client_gone();
     }
@@ -388,7 +380,7 @@
         this->close();
         return;
     }
-    this->arm(this->read_timer_, this->state_->options.idle_timeout);
+    this->read_deadline_.set(this->state_->options.idle_timeout, this->shared_from_this());
     this->watch();
 }
 
@@ -433,11 +425,12 @@
 void server_connection::receive()
 {
     this->phase_ = phase::receiving;
+    this->too_slow_ = false;
     this->framing_ = {};
     this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
     this->parser_->header_limit(static_cast<std::uint32_t>(this->state_->options.max_header_bytes));
     this->parser_->body_limit(this->state_->options.max_body_bytes);
-    this->arm(this->read_timer_, this->state_->options.request_timeout);
+    this->read_deadline_.set(this->state_->options.request_timeout, this->shared_from_this());
     http::async_read_header(
         this->socket_, this->buffer_, *this->parser_,
         [self = this->shared_from_this()](const error_code& ec, std::size_t) {
@@ -470,6 +463,17 @@
                      });
 }
 
+void server_connection::read_expired()
+{
+    if (this->phase_ != phase::receiving) {
+        this->close();
+        return;
+    }
+    this->too_slow_ = true;
+    error_code ec;
+    this->socket_.cancel(ec); // the pending read ends in receive_failed
+}
+
 void server_connection::receive_failed(const error_code& ec)
 {
     const auto& limits = this->state_->options;
@@ -478,7 +482,13 @@
     const auto reply = [this](const error& failure) {
         this->send_whole(make_error_response(failure));
     };
-    if (ec == http::error::header_limit) {
+    if (this->too_slow_) {
+        reply(error(error_kind::deadline_exceeded,
+                    fmt::format("request did not arrive whole within {}",
+                                format_duration(limits.request_timeout)),
+                    "Send the whole request at once."));
+    }
+    else if (ec == http::error::header_limit) {
         reply(error(
             error_kind::too_large,
             fmt::format("request header exceeds the limit of {} bytes", limits.max_header_bytes),
@@ -504,7 +514,7 @@
 void server_connection::hand_over()
 {
     this->phase_ = phase::handling;
-    this->read_timer_.cancel();
+    this->read_deadline_.clear();
     this->reply_ended_ = false;
     auto message = this->parser_->release();
     const auto text = [](boost::beast::string_view view) {
@@ -606,7 +616,7 @@
     }
     this->writing_ = true;
     this->in_write_ = std::exchange(this->outgoing_, {});
-    this->arm(this->write_timer_, this->state_->options.write_timeout);
+    this->write_deadline_.set(this->state_->options.write_timeout, this->shared_from_this());
     asio::async_write(this->socket_, asio::buffer(this->in_write_),
                       [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                           self->wrote(ec, n);
@@ -624,7 +634,7 @@
         this->close();
         return;
     }
-    this->write_timer_.cancel();
+    this->write_deadline_.clear();
     this->write_queued();
 }
 
@@ -645,7 +655,7 @@
     error_code ec;
     this->socket_.shutdown(tcp::socket::shutdown_send, ec);
     this->buffer_.clear();
-    this->arm(this->read_timer_, linger_time);
+    this->read_deadline_.set(linger_time, this->shared_from_this());
     this->watch();
 }
 
