--- a/Source/commands/agent_process.cxx
+++ b/Source/commands/agent_process.cxx
@@ -150,6 +150,7 @@
 void agent_process::on_config(const controllers::config_view& config)
 {
     std::vector<policy::priority_rule> rules;
+    rules.reserve(config.priorities.size());
     for (const auto& [name, item] : config.priorities) {
         rules.push_back({.order = item.spec.order,
                          .floor = item.spec.floor,
--- a/Source/controllers/upstream_runner.cxx
+++ b/Source/controllers/upstream_runner.cxx
@@ -102,7 +102,7 @@
                               ? time_left
                               : std::max(time_left, this->options_.min_wait_if_not_idempotent);
     return std::make_shared<http_call>(
-        this->client_.send(std::move(sent), timeouts, to_http_events(std::move(events))));
+        this->client_.send(sent, timeouts, to_http_events(std::move(events))));
 }
 
 } // namespace medlaryoke::controllers
