agent: Refuse what a busy upstream did not run, and probe one that is down

Cause: status 429 of an upstream was passed on as an answer and used up the key of the request. An upstream that could not be reached stayed down for the entries, because no work came that could have shown that it is back.

Change: 429 ends a dispatch as refused, gives the claim back and tells the adaptive limit. A refusal after a claim follows its release in all cases. The time to the first byte no longer includes the claim. The key is passed to the upstream. While the upstream is down, the agent asks it for /healthz every second; any answer brings it back.

--- a/Source/commands/agent_process.cxx
+++ b/Source/commands/agent_process.cxx
@@ -17,6 +17,9 @@
 /// Bounds how late a deadline or a silent entry is noticed.
 constexpr duration tick_interval = std::chrono::milliseconds(50);
 
+/// How often an upstream that is down is asked whether it is back.
+constexpr duration probe_interval = std::chrono::seconds(1);
+
 /// The first look comes after the frames that announce the drain have left.
 constexpr duration drain_poll_interval = std::chrono::milliseconds(100);
 
@@ -98,6 +101,7 @@
     this->claims_->start();
     this->tick_regularly();
     this->send_heartbeats_regularly();
+    this->probe_upstream_regularly();
     this->runtime_.start();
     this->log_.info("Serving upstream {} at {} to entries on {}, operators on {}, incarnation "
                     "{:016x}.",
@@ -185,6 +189,16 @@
     });
 }
 
+void agent_process::probe_upstream_regularly()
+{
+    this->runtime_.after(probe_interval, [this] {
+        if (!this->server_->counts().load.upstream_up()) {
+            this->upstream_.probe([this](bool up) { this->server_->set_upstream_up(up); });
+        }
+        this->probe_upstream_regularly();
+    });
+}
+
 void agent_process::stop_when_drained(time_point limit)
 {
     this->runtime_.after(drain_poll_interval, [this, limit] {
--- a/Source/commands/agent_process.h
+++ b/Source/commands/agent_process.h
@@ -52,6 +52,7 @@
     void update_leaving();
     void tick_regularly();
     void send_heartbeats_regularly();
+    void probe_upstream_regularly();
     void stop_when_drained(time_point limit);
     [[nodiscard]] controllers::agent_status status() const;
 
--- a/Source/controllers/agent_admission.cxx
+++ b/Source/controllers/agent_admission.cxx
@@ -24,7 +24,7 @@
 
 #else
 
-enum class call_outcome { succeeded, failed, abandoned };
+enum class call_outcome { succeeded, refused, failed, abandoned };
 
 struct concurrency_limit_options {
     unsigned initial = 16;
@@ -106,6 +106,21 @@
 
 #endif
 
+call_outcome to_call_outcome(slot_outcome outcome)
+{
+    switch (outcome) {
+    case slot_outcome::answered:
+        return call_outcome::succeeded;
+    case slot_outcome::overloaded:
+        return call_outcome::refused;
+    case slot_outcome::failed:
+        return call_outcome::failed;
+    case slot_outcome::abandoned:
+        break;
+    }
+    return call_outcome::abandoned;
+}
+
 std::vector<std::uint64_t> ids_of(const std::vector<policy::work_item>& items)
 {
     std::vector<std::uint64_t> ids;
@@ -156,11 +171,12 @@
     return std::nullopt;
 }
 
-void agent_admission::release(std::optional<duration> latency, bool failed)
+void agent_admission::release(std::optional<duration> latency, slot_outcome outcome)
 {
-    const auto answered = latency ? call_outcome::succeeded : call_outcome::abandoned;
     this->impl_->limit.release(latency.value_or(duration{}),
-                               failed ? call_outcome::failed : answered);
+                               outcome == slot_outcome::answered && !latency
+                                   ? call_outcome::abandoned
+                                   : to_call_outcome(outcome));
 }
 
 bool agent_admission::remove(std::uint64_t id)
--- a/Source/controllers/agent_admission.h
+++ b/Source/controllers/agent_admission.h
@@ -25,6 +25,14 @@
     std::vector<std::uint64_t> refused; ///< waiting requests that had to make room; may be the new
 };
 
+/// How the call that held a slot ended.
+enum class slot_outcome {
+    answered,   ///< the upstream answered
+    overloaded, ///< the upstream has too many requests and did not run this one
+    failed,     ///< the upstream failed or could not be reached
+    abandoned,  ///< ended by the agent or the entry; says nothing about the upstream
+};
+
 /// Slots at the upstream of an agent and the short queue in front of them. Not thread safe.
 class agent_admission {
 public:
@@ -48,8 +56,8 @@
 
     /// Frees a slot.
     /// @param latency time to the first byte of the answer; empty if there was none
-    /// @param failed whether the upstream failed
-    void release(std::optional<duration> latency, bool failed);
+    /// @param outcome how the call ended
+    void release(std::optional<duration> latency, slot_outcome outcome);
 
     /// @param id a request that is no longer wanted
     /// @return whether it was waiting
--- a/Source/controllers/agent_server.cxx
+++ b/Source/controllers/agent_server.cxx
@@ -21,6 +21,9 @@
 /// Shortest time between two sets of configuration records to one entry.
 constexpr duration config_send_interval = std::chrono::seconds(1);
 
+/// Status of an upstream that did not run a request because it has too many.
+constexpr unsigned too_many_requests = 429;
+
 /// Organisations named in a heartbeat.
 constexpr std::size_t usage_per_heartbeat = 8;
 
@@ -91,7 +94,7 @@
                 if (target.call) {
                     this->later([call = target.call] { call->cancel(); });
                 }
-                this->release_slot(target, false);
+                this->release_slot(target, slot_outcome::abandoned);
                 this->fail(target, "the deadline passed while the request ran");
             }
         }
@@ -121,6 +124,12 @@
     }
 }
 
+void agent_server::set_upstream_up(bool up)
+{
+    const std::scoped_lock lock(this->mutex_);
+    this->upstream_up_ = up;
+}
+
 void agent_server::set_priorities(const std::vector<policy::priority_rule>& priorities)
 {
     const std::scoped_lock lock(this->mutex_);
@@ -401,10 +410,9 @@
 
 void agent_server::start(run& target)
 {
-    target.started = this->clock_.now();
     ++this->counts_.started;
     this->usage_.add(target.request.organisation(),
-                     std::max(1.0, static_cast<double>(target.request.cost())), target.started);
+                     std::max(1.0, static_cast<double>(target.request.cost())), this->clock_.now());
     if (target.request.idempotent()) {
         this->run_at_upstream(target);
         return;
@@ -428,7 +436,7 @@
             this->start(*target);
         }
         else {
-            this->admission_.release(std::nullopt, false);
+            this->admission_.release({}, slot_outcome::abandoned);
         }
     }
 }
@@ -447,13 +455,12 @@
             this->run_at_upstream(*target);
         }
         else {
-            this->release_slot(*target, false);
+            this->release_slot(*target, slot_outcome::abandoned);
             switch (answer.verdict) {
             case claim_verdict::run:
-                this->later(
-                    [this, ticket = answer.ticket] { this->claims_.release(ticket, [] {}); });
-                this->refuse(*target, wire::REFUSAL_REASON_DEADLINE,
-                             "the deadline passed while the key was claimed");
+                target->ticket = answer.ticket;
+                this->give_back(*target, wire::REFUSAL_REASON_DEADLINE,
+                                "the deadline passed while the key was claimed");
                 break;
             case claim_verdict::repeated:
                 this->answer_from_memory(*target, answer.completion);
@@ -480,6 +487,7 @@
 void agent_server::run_at_upstream(run& target)
 {
     target.state = run_state::running;
+    target.started = this->clock_.now();
     const auto number = target.number;
     const auto time_left = target.deadline - this->clock_.now();
     const auto guarded = [weak = this->weak_from_this()](auto fn) {
@@ -524,18 +532,37 @@
 
 void agent_server::on_upstream_head(std::uint64_t number, const transport::http_head& head)
 {
-    const std::scoped_lock lock(this->mutex_);
-    auto* target = this->find(number);
-    if (target == nullptr || target->state != run_state::running) {
-        return;
+    {
+        const std::scoped_lock lock(this->mutex_);
+        auto* target = this->find(number);
+        if (target == nullptr || target->state != run_state::running) {
+            return;
+        }
+        this->upstream_up_ = true;
+        if (head.status == too_many_requests) {
+            if (target->call) {
+                this->later([call = target->call] { call->cancel(); });
+            }
+            this->release_slot(*target, slot_outcome::overloaded);
+            this->give_back(*target, wire::REFUSAL_REASON_OVERLOADED,
+                            "the upstream is overloaded and did not run the request");
+            this->start_waiting();
+        }
+        else {
+            this->begin_answer(*target, head);
+        }
     }
-    const auto latency = this->clock_.now() - target->started;
-    target->latency = latency;
+    this->actions_.run();
+}
+
+void agent_server::begin_answer(run& target, const transport::http_head& head)
+{
+    const auto latency = this->clock_.now() - target.started;
+    target.latency = latency;
     this->first_byte_latency_ += (latency - this->first_byte_latency_) / latency_smoothing;
-    this->upstream_up_ = true;
-    target->answer.status = head.status;
-    target->answer.content_type = content_type_of(head);
-    target->answer.body = std::string();
+    target.answer.status = head.status;
+    target.answer.content_type = content_type_of(head);
+    target.answer.body = std::string();
     wire::chunk chunk;
     chunk.set_status(head.status);
     for (const auto& it : head.headers) {
@@ -543,7 +570,7 @@
         field->set_name(it.name);
         field->set_value(it.value);
     }
-    this->add_chunk(*target, std::move(chunk));
+    this->add_chunk(target, std::move(chunk));
 }
 
 void agent_server::on_upstream_data(std::uint64_t number, std::string data)
@@ -579,7 +606,7 @@
                 this->claims_.complete(ticket, answer);
             });
         }
-        this->release_slot(*target, false);
+        this->release_slot(*target, slot_outcome::answered);
         this->finish(*target, false);
         this->start_waiting();
     }
@@ -595,30 +622,13 @@
         if (target == nullptr || target->state != run_state::running) {
             return;
         }
-        this->release_slot(*target, true);
+        this->release_slot(*target, slot_outcome::failed);
         if (maybe_run || target->next_chunk > 0) {
             this->fail(*target, message);
         }
         else {
             this->upstream_up_ = false;
-            // The refusal follows the release, so that a retry elsewhere finds the key free.
-            const auto refuse_now = [weak = this->weak_from_this(), number, message] {
-                if (const auto self = weak.lock()) {
-                    const std::scoped_lock inner(self->mutex_);
-                    if (auto* it = self->find(number)) {
-                        self->refuse(*it, wire::REFUSAL_REASON_UPSTREAM_DOWN, message);
-                    }
-                }
-            };
-            if (target->ticket) {
-                target->state = run_state::claiming;
-                this->later([this, ticket = *target->ticket, refuse_now] {
-                    this->claims_.release(ticket, refuse_now);
-                });
-            }
-            else {
-                this->refuse(*target, wire::REFUSAL_REASON_UPSTREAM_DOWN, message);
-            }
+            this->give_back(*target, wire::REFUSAL_REASON_UPSTREAM_DOWN, message);
         }
         this->start_waiting();
     }
@@ -737,9 +747,30 @@
     target.end = std::move(frame);
 }
 
-void agent_server::release_slot(run& target, bool failed)
+void agent_server::release_slot(const run& target, slot_outcome outcome)
 {
-    this->admission_.release(target.latency, failed);
+    this->admission_.release(target.latency, outcome);
+}
+
+void agent_server::give_back(run& target, wire::refusal_reason reason, const std::string& message)
+{
+    if (!target.ticket) {
+        this->refuse(target, reason, message);
+        return;
+    }
+    target.state = run_state::claiming;
+    target.call.reset();
+    this->later([this, ticket = *target.ticket, number = target.number, reason, message] {
+        // The refusal follows the release, so that a retry elsewhere finds the key free.
+        this->claims_.release(ticket, [weak = this->weak_from_this(), number, reason, message] {
+            if (const auto self = weak.lock()) {
+                const std::scoped_lock lock(self->mutex_);
+                if (auto* it = self->find(number)) {
+                    self->refuse(*it, reason, message);
+                }
+            }
+        });
+    });
 }
 
 void agent_server::abandon(run& target)
@@ -762,7 +793,7 @@
         if (target.call) {
             this->later([call = target.call] { call->cancel(); });
         }
-        this->release_slot(target, false);
+        this->release_slot(target, slot_outcome::abandoned);
         break;
     case run_state::claiming:
         return; // on_claim gives the claim back
--- a/Source/controllers/agent_server.h
+++ b/Source/controllers/agent_server.h
@@ -95,6 +95,10 @@
     /// @param leaving whether it leaves
     void set_leaving(bool leaving);
 
+    /// Entries send no work to an upstream that is down, so that only a probe can bring it back.
+    /// @param up whether a probe reached the upstream
+    void set_upstream_up(bool up);
+
     /// @param priorities rules of the current configuration
     void set_priorities(const std::vector<policy::priority_rule>& priorities);
 
@@ -161,6 +165,7 @@
     void on_claim(std::uint64_t number, const claim_answer& answer);
     void run_at_upstream(run& target);
     void on_upstream_head(std::uint64_t number, const transport::http_head& head);
+    void begin_answer(run& target, const transport::http_head& head);
     void on_upstream_data(std::uint64_t number, std::string data);
     void on_upstream_end(std::uint64_t number);
     void on_upstream_failure(std::uint64_t number, bool maybe_run, const std::string& message);
@@ -172,7 +177,8 @@
     void refuse(run& target, wire::refusal_reason reason, const std::string& message);
     void fail(run& target, const std::string& message, bool in_progress = false);
     void end_run(run& target, wire::frame frame);
-    void release_slot(run& target, bool failed);
+    void give_back(run& target, wire::refusal_reason reason, const std::string& message);
+    void release_slot(const run& target, slot_outcome outcome);
     void abandon(run& target);
     void abandon_all(std::uint64_t entry, const std::vector<std::uint64_t>& except);
     void forget(run_map::iterator it);
--- a/Source/controllers/upstream_runner.cxx
+++ b/Source/controllers/upstream_runner.cxx
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <optional>
 #include <string_view>
 #include <utility>
+#include <variant>
 
 #include <nlohmann/json.hpp>
 
@@ -95,6 +97,10 @@
         }
     }
     sent.headers.push_back({.name = "Medlaryoke-Request-Id", .value = request.request_id()});
+    if (!request.idempotency_key().empty() &&
+        transport::find_header(sent.headers, "Idempotency-Key").empty()) {
+        sent.headers.push_back({.name = "Idempotency-Key", .value = request.idempotency_key()});
+    }
     transport::http_timeouts timeouts;
     timeouts.connect = this->options_.connect_timeout;
     timeouts.between_bytes = this->options_.pause_timeout;
@@ -105,4 +111,15 @@
         this->client_.send(sent, timeouts, to_http_events(std::move(events))));
 }
 
+void upstream_runner::probe(const std::function<void(bool)>& done)
+{
+    transport::http_timeouts timeouts;
+    timeouts.connect = this->options_.connect_timeout;
+    timeouts.first_byte = this->options_.connect_timeout;
+    this->client_.fetch({.method = "GET", .target = "/healthz", .headers = {}, .body = {}},
+                        timeouts, [done](const auto& result) {
+                            done(std::holds_alternative<transport::http_response>(result));
+                        });
+}
+
 } // namespace medlaryoke::controllers
--- a/Source/controllers/upstream_runner.h
+++ b/Source/controllers/upstream_runner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,6 +30,10 @@
     std::shared_ptr<upstream_call> start(const wire::dispatch& request, duration time_left,
                                          upstream_events events) override;
 
+    /// Asks the upstream for `/healthz`; any answer shows that it can be reached.
+    /// @param done called once with whether the upstream answered
+    void probe(const std::function<void(bool)>& done);
+
 private:
     const upstream_runner_options options_;
     transport::http_client client_;
--- a/Tests/controllers/test_agent_link.cxx
+++ b/Tests/controllers/test_agent_link.cxx
@@ -191,6 +191,10 @@
     linked_agent agent(address);
     agent.dispatch();
     const auto end = agent.end.get_future().get();
+    std::promise<bool> probed;
+    agent.runner.probe([&probed](bool up) { probed.set_value(up); });
+    cr_assert(!probed.get_future().get());
+    cr_assert(!agent.server->counts().load.upstream_up());
     cr_assert(end == "refused " + std::to_string(wire::REFUSAL_REASON_UPSTREAM_DOWN), "%s",
               end.c_str());
 }
--- a/Tests/controllers/test_claims.cxx
+++ b/Tests/controllers/test_claims.cxx
@@ -117,6 +117,26 @@
     cr_assert_eq(calls_of(fleet), 2);
 }
 
+// Guards against a key that is used up by an upstream that was too busy to run the call, and
+// against "answered" for a call that was not run.
+Test(claims, overloaded_upstream_is_a_refusal_that_frees_the_key)
+{
+    agent_fleet fleet(1);
+    const auto first = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    auto& calls = fleet.agents[0]->upstream.calls;
+    calls.at(0)->events.on_head({.status = 429, .headers = {}});
+    fleet.advance(200ms);
+    cr_assert_eq(first->reason, wire::REFUSAL_REASON_OVERLOADED);
+    cr_assert(calls.at(0)->cancelled);
+    const auto second = fleet.dispatch(0, "pay", "key");
+    fleet.advance(200ms);
+    calls.at(1)->answer("paid");
+    fleet.settle();
+    cr_assert_str_eq(second->end.c_str(), "finished");
+    cr_assert_eq(fleet.agents[0]->server->counts().load.running(), 0);
+}
+
 // Guards against an outcome that nobody learns because the caller of a call that cannot be undone
 // went away.
 Test(claims, cancelled_call_runs_to_its_end_and_is_remembered)
