--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -6,7 +6,11 @@
 #include <fmt/format.h>
 
 #include "base/error.h"
+#include "commands/apply_command.h"
+#include "commands/check_command.h"
+#include "commands/get_command.h"
 #include "commands/status_command.h"
+#include "commands/watch_command.h"
 
 namespace medlaryoke::commands {
 
@@ -22,7 +26,11 @@
     CLI::App app{"Load balancer for expert-parallel model groups", "medlaryoke"};
     app.set_version_flag("--version", "0.1.0");
     app.require_subcommand(0, 1);
+    apply_command::add_to(app);
+    check_command::add_to(app);
+    get_command::add_to(app);
     status_command::add_to(app);
+    watch_command::add_to(app);
     try {
         app.parse(argc, argv);
     }
--- a/Source/model/resource_check.cxx
+++ b/Source/model/resource_check.cxx
@@ -33,6 +33,7 @@
             const auto& current = *this->resources_[this->index_];
             if (!this->keys_.emplace(kind_of(current.spec), current.name).second) {
                 this->report("is declared twice", "Keep one of the two.");
+                continue;
             }
             std::visit([this](const auto& spec) { this->check(spec); }, current.spec);
         }
--- a/Tests/controllers/test_config_log.cxx
+++ b/Tests/controllers/test_config_log.cxx
@@ -260,7 +260,7 @@
     fakes::hand_driven_time time;
     fakes::fake_log log(time);
     log.latency = 100ms;
-    const std::vector<std::string> names{"entry-1", "entry-2", "entry-3", "broken"};
+    std::vector<std::string> names{"entry-1", "entry-2", "entry-3", "broken"};
     std::vector<std::unique_ptr<site>> sites;
     std::vector<std::unique_ptr<controllers::snapshot_writer>> writers;
     for (unsigned n = 0; n < 3; ++n) {
--- a/Tests/policy/test_config_ledger.cxx
+++ b/Tests/policy/test_config_ledger.cxx
@@ -148,7 +148,8 @@
     {
         change_item item;
         item.key = {"priority", fmt::format("p{}", this->random_() % 4)};
-        item.spec = priority_spec_text(this->random_() % 6, 0.125 * (this->random_() % 5));
+        item.spec = priority_spec_text(this->random_() % 6,
+                                       0.125 * static_cast<double>(this->random_() % 5));
         if (this->random_() % 5 == 0) {
             item.key = {"caller", "c"};
             item.spec = caller_spec_text(fmt::format("p{}", this->random_() % 4));
