policy: Route by expected first-token time and a common home

Cause: total load hardly delays a first token, and entries that miss a cache event computed the prompt of a conversation again elsewhere.

Change: upstream_selector adds up the requests that wait, the part of the prompt that is not cached and the load, picks at random near the best, and gives a bonus to the upstream that a hash of the conversation selects. upstream_candidate gains reported_queued (0 if unknown).

--- a/Source/policy/upstream_selector.cxx
+++ b/Source/policy/upstream_selector.cxx
@@ -1,11 +1,17 @@
 #include "policy/upstream_selector.h"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
+
+#include "base/digest.h"
 
 namespace medlaryoke::policy {
 
 namespace {
 
+constexpr double miss_smoothing = 0.05;
+
 unsigned expected_load(const upstream_candidate& candidate)
 {
     return candidate.reported_load + candidate.dispatched_since;
@@ -16,6 +22,30 @@
     return candidate.available && expected_load(candidate) < candidate.limit;
 }
 
+/// @return id of the upstream that the second prefix selects by rendezvous hashing. The first one
+/// is often shared by all conversations of an organisation.
+std::uint64_t home_of(std::span<const upstream_candidate> candidates,
+                      const request_features& request)
+{
+    const auto& hashes = request.prefix_hashes;
+    if (hashes.empty()) {
+        return 0;
+    }
+    const auto key = hashes[std::min<std::size_t>(1, hashes.size() - 1)];
+    std::uint64_t home = 0;
+    std::uint64_t best = 0;
+    for (const auto& it : candidates) {
+        const std::array<std::uint64_t, 2> pair = {key, it.id};
+        const auto rank =
+            hash64({reinterpret_cast<const char*>(pair.data()), sizeof(pair)}); // NOLINT
+        if (it.available && rank > best) {
+            best = rank;
+            home = it.id;
+        }
+    }
+    return home;
+}
+
 duration median_latency(std::span<const upstream_candidate> candidates)
 {
     std::vector<duration> known;
@@ -44,19 +74,20 @@
                                                      time_point now)
 {
     this->last_choice_ = std::max(this->last_choice_, now);
-    const auto open = this->open_options(candidates);
+    const auto open = this->open_options(candidates, request, now);
     if (open.empty()) {
         return std::nullopt;
     }
-    auto chosen = this->choose_warm(candidates, open, request, now);
-    if (!chosen) {
-        std::uniform_int_distribution<std::size_t> pick(0, open.size() - 1);
-        const auto& first = open[pick(this->random_)];
-        const auto& second = open[pick(this->random_)];
-        chosen = second.score < first.score ? second.index : first.index;
-    }
-    this->index_.record(candidates[*chosen].id, request.prefix_hashes, now);
-    return chosen;
+    const auto best = std::ranges::min(open, {}, &option::score).score;
+    std::vector<option> near;
+    std::ranges::copy_if(open, std::back_inserter(near), [&](const option& it) {
+        return it.score <= best + this->options_.near_best;
+    });
+    std::uniform_int_distribution<std::size_t> pick(0, near.size() - 1);
+    const auto& chosen = near[pick(this->random_)];
+    this->mean_miss_ += miss_smoothing * (chosen.miss - this->mean_miss_);
+    this->index_.record(candidates[chosen.index].id, request.prefix_hashes, now);
+    return chosen.index;
 }
 
 void upstream_selector::forget_prefix(std::uint64_t upstream, std::uint64_t prefix_hash)
@@ -70,52 +101,31 @@
 }
 
 std::vector<upstream_selector::option>
-upstream_selector::open_options(std::span<const upstream_candidate> candidates) const
+upstream_selector::open_options(std::span<const upstream_candidate> candidates,
+                                const request_features& request, time_point now) const
 {
     const auto typical = static_cast<double>(median_latency(candidates).count());
+    const auto home = home_of(candidates, request);
+    const auto prefixes = static_cast<double>(request.prefix_hashes.size());
     std::vector<option> open;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& it = candidates[i];
         if (!has_room(it)) {
             continue;
         }
-        auto score = (1.0 + expected_load(it)) / it.limit;
+        const auto depth = this->index_.depth(it.id, request.prefix_hashes, now);
+        const auto miss = prefixes > 0 ? 1 - static_cast<double>(depth) / prefixes : 1.0;
+        const auto waiting = static_cast<double>(it.reported_queued + it.dispatched_since);
+        const auto load = static_cast<double>(expected_load(it)) / it.limit;
+        const auto bonus = prefixes > 0 && it.id == home ? this->options_.home_bonus : 0.0;
+        auto score = waiting * this->mean_miss_ + miss + load - bonus;
         const auto latency = static_cast<double>(it.first_token_latency.count());
         if (typical > 0 && latency > typical * this->options_.straggler_factor) {
-            score *= latency / typical;
+            score = (score + bonus) * latency / typical - bonus;
         }
-        open.push_back({i, score});
+        open.push_back({i, miss, score});
     }
     return open;
 }
 
-std::optional<std::size_t>
-upstream_selector::choose_warm(std::span<const upstream_candidate> candidates,
-                               std::span<const option> open, const request_features& request,
-                               time_point now) const
-{
-    if (request.prefix_hashes.empty()) {
-        return std::nullopt;
-    }
-    double sum = 0;
-    for (const auto& it : open) {
-        sum += it.score;
-    }
-    const auto bound = this->options_.load_bound * sum / static_cast<double>(open.size());
-    const option* best = nullptr;
-    std::size_t best_depth = 0;
-    for (const auto& it : open) {
-        if (it.score > bound) {
-            continue;
-        }
-        const auto depth = this->index_.depth(candidates[it.index].id, request.prefix_hashes, now);
-        if (depth > best_depth ||
-            (best != nullptr && depth == best_depth && it.score < best->score)) {
-            best = &it;
-            best_depth = depth;
-        }
-    }
-    return best == nullptr ? std::nullopt : std::optional(best->index);
-}
-
 } // namespace medlaryoke::policy
--- a/Source/policy/upstream_selector.h
+++ b/Source/policy/upstream_selector.h
@@ -17,6 +17,7 @@
     std::uint64_t id = 0;           ///< stable hash of the upstream's name
     bool available = true;          ///< up, not leaving, not ejected
     unsigned reported_load = 0;     ///< running and queued requests in the last report
+    unsigned reported_queued = 0;   ///< those of them that were queued
     unsigned dispatched_since = 0;  ///< own dispatches not yet covered by the report
     unsigned limit = 1;             ///< requests the agent admits at once
     duration first_token_latency{}; ///< smoothed; zero if unknown
@@ -31,10 +32,14 @@
 
 struct selector_options {
     prefix_index_options prefixes;
-    /// A warm upstream is preferred while its load is at most this many times the mean.
-    double load_bound = 1.25;
     /// Latency above the median by this factor makes an upstream a straggler.
     double straggler_factor = 1.5;
+    /// Upstreams whose score is this close to the best are chosen from at random, so that entries
+    /// with the same reports do not all choose the same one. In parts of a whole prefill.
+    double near_best = 0.2;
+    /// Advantage of the upstream that a hash of the conversation selects, in whole prefills. All
+    /// entries agree on it without messages, so turns meet their cache also when events are lost.
+    double home_bonus = 0.8;
 };
 
 /// Chooses the upstream for a request. Not thread safe.
@@ -44,7 +49,9 @@
     /// @param options how strongly to prefer warm caches and to avoid stragglers
     explicit upstream_selector(std::uint64_t seed, selector_options options = {});
 
-    /// Chooses an upstream that has room, preferring a warm prefix cache within bounded load.
+    /// Chooses an upstream that has room and is expected to give the first token early: requests
+    /// that wait there, including own dispatches since the report, count as much as a mean request
+    /// computes, and a warm prefix cache saves its part of the prompt.
     /// @param candidates the upstreams of the group
     /// @param request the request
     /// @param now the current time
@@ -65,18 +72,18 @@
 private:
     struct option {
         std::size_t index = 0;
-        double score = 0; ///< expected wait, relative
+        double miss = 0;  ///< part of the prompt that is not cached
+        double score = 0; ///< expected time to the first token, in whole prefills
     };
 
-    [[nodiscard]] std::vector<option>
-    open_options(std::span<const upstream_candidate> candidates) const;
-    [[nodiscard]] std::optional<std::size_t>
-    choose_warm(std::span<const upstream_candidate> candidates, std::span<const option> open,
-                const request_features& request, time_point now) const;
+    [[nodiscard]] std::vector<option> open_options(std::span<const upstream_candidate> candidates,
+                                                   const request_features& request,
+                                                   time_point now) const;
 
     selector_options options_;
     std::mt19937_64 random_;
     prefix_index index_;
+    double mean_miss_ = 0.5;   ///< of the requests dispatched, smoothed
     time_point last_choice_{}; ///< stands in for the time of cache events
 };
 
