policy: Serve requests that can meet their target before late ones

Cause: with many organisations the newest request of each was often past its target as well, so overloaded engines mostly computed late answers. The limit cut far below the capacity whenever one request too many waited in an engine.

Change: a request is late after 0.8 of its first token target; late ones are served only when no organisation of the priority has a fresh one, and are the first to make room.

--- a/Source/policy/concurrency_limit.cxx
+++ b/Source/policy/concurrency_limit.cxx
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 namespace medlaryoke::policy {
 
@@ -18,6 +17,10 @@
 constexpr double probe_gain = 0.8;
 constexpr unsigned windows_after_gain = 5;
 constexpr double smoothing = 0.5;
+/// One request too many can multiply the latency, so a cut in proportion to the latency went far
+/// below the capacity.
+constexpr double strongest_cut = 0.8;
+constexpr double growth = 2; ///< requests, before smoothing
 
 } // namespace
 
@@ -96,12 +99,12 @@
 void concurrency_limit::adapt(double mean)
 {
     this->best_latency_ = this->best_latency_ == 0 ? mean : std::min(mean, this->best_latency_);
-    const auto gradient =
-        std::clamp(this->options_.tolerance * this->best_latency_ / std::max(mean, 1e-9), 0.5, 1.0);
+    const auto gradient = std::clamp(
+        this->options_.tolerance * this->best_latency_ / std::max(mean, 1e-9), strongest_cut, 1.0);
     auto target = this->limit_ * gradient;
     // An idle upstream has not shown that it can take more.
     if (!this->refused_ && this->most_in_flight_ * 2 >= this->limit()) {
-        target += std::sqrt(this->limit_);
+        target += growth;
     }
     this->limit_ = std::clamp<double>(this->limit_ + smoothing * (target - this->limit_),
                                       this->options_.minimum, this->options_.maximum);
--- a/Source/policy/work_queue.cxx
+++ b/Source/policy/work_queue.cxx
@@ -1,6 +1,8 @@
 #include "policy/work_queue.h"
 
 #include <algorithm>
+#include <chrono>
+#include <deque>
 #include <iterator>
 #include <limits>
 #include <list>
@@ -18,17 +20,26 @@
 /// its target 2 to 5 points less often in a batch flood.
 constexpr double floor_debt_items = 4;
 
+/// Part of the first token target after which a request in the queue is late: the rest is needed
+/// for the way and the prompt.
+constexpr double fresh_part = 0.8;
+
 struct waiting_item {
     work_item item;
     time_point arrived;
+    bool late = false;
 };
 
 struct organisation_queue {
     std::string name;
-    std::list<waiting_item> items;
-    double start_tag = 0; ///< virtual time at which the next item may start
+    std::list<waiting_item> fresh; ///< can still meet their target, oldest first
+    std::list<waiting_item> late;  ///< missed their target, oldest first
+    double start_tag = 0;          ///< virtual time at which the next item may start
     double queued_cost = 0;
+    double fresh_cost = 0;
     double share = 1; ///< of the newest item
+
+    [[nodiscard]] bool empty() const { return this->fresh.empty() && this->late.empty(); }
 };
 
 struct organisation_order {
@@ -45,15 +56,19 @@
 struct priority_class {
     priority_rule rule;
     std::map<std::string, organisation_queue> organisations;
-    std::set<organisation_order> by_start;   ///< with waiting requests, by start tag
+    std::set<organisation_order> fresh_by_start; ///< with fresh requests, by start tag
+    std::set<organisation_order> late_by_start;  ///< with late requests, by start tag
     std::set<organisation_order> by_backlog; ///< with waiting requests, by queued cost over share
     std::set<organisation_order> idle;       ///< without waiting requests, by end_of_debt()
     double virtual_time = 0;
     double burst = 0; ///< see work_queue_options
     double queued_cost = 0;
-    double waiting_shares = 0; ///< of the organisations with waiting requests
-    double floor_credit = 0;   ///< cost owed to the floor; negative after an item that exceeded it
+    double fresh_cost = 0;
+    double fresh_shares = 0; ///< of the organisations with fresh requests
+    double floor_credit = 0; ///< cost owed to the floor; negative after an item that exceeded it
     std::size_t size = 0;
+    /// Fresh requests by arrival; those that were removed are skipped.
+    std::deque<std::pair<time_point, std::uint64_t>> becoming_late;
 };
 
 struct item_position {
@@ -81,27 +96,38 @@
 
 void unlink(priority_class& group, organisation_queue& queue)
 {
-    if (queue.items.empty()) {
+    if (queue.empty()) {
         group.idle.erase({end_of_debt(group, queue), &queue});
         return;
     }
-    group.by_start.erase({queue.start_tag, &queue});
+    if (!queue.fresh.empty()) {
+        group.fresh_by_start.erase({queue.start_tag, &queue});
+        group.fresh_shares -= queue.share;
+    }
+    group.late_by_start.erase({queue.start_tag, &queue});
     group.by_backlog.erase({backlog_of(queue), &queue});
-    group.waiting_shares -= queue.share;
     group.queued_cost -= queue.queued_cost;
+    group.fresh_cost -= queue.fresh_cost;
 }
 
 void link(priority_class& group, organisation_queue& queue)
 {
-    if (queue.items.empty()) {
+    if (queue.empty()) {
         queue.queued_cost = 0;
+        queue.fresh_cost = 0;
         group.idle.insert({end_of_debt(group, queue), &queue});
         return;
     }
-    group.by_start.insert({queue.start_tag, &queue});
+    if (!queue.fresh.empty()) {
+        group.fresh_by_start.insert({queue.start_tag, &queue});
+        group.fresh_shares += queue.share;
+    }
+    if (!queue.late.empty()) {
+        group.late_by_start.insert({queue.start_tag, &queue});
+    }
     group.by_backlog.insert({backlog_of(queue), &queue});
-    group.waiting_shares += queue.share;
     group.queued_cost += queue.queued_cost;
+    group.fresh_cost += queue.fresh_cost;
 }
 
 organisation_queue& find_or_add(priority_class& group, const std::string& name)
@@ -127,12 +153,15 @@
     }
 }
 
-/// Takes the oldest request of the organisation whose turn it is, or the newest once the oldest
-/// has used half of its target for the first token: under lasting overload the oldest one would
-/// always be answered just too late.
+/// Late requests are served only when no organisation has a fresh one, newest first. Among fresh
+/// ones the oldest is taken, or the newest once the oldest has used half of its target: under
+/// lasting overload the oldest would always be answered just too late.
 const work_item& choose_item(const priority_class& group, time_point now)
 {
-    const auto& items = group.by_start.begin()->queue->items;
+    if (group.fresh_by_start.empty()) {
+        return group.late_by_start.begin()->queue->late.back().item;
+    }
+    const auto& items = group.fresh_by_start.begin()->queue->fresh;
     const auto target = group.rule.first_token_target;
     const bool overloaded = target > duration::zero() && now - items.front().arrived > target / 2;
     return overloaded ? items.back().item : items.front().item;
@@ -155,21 +184,26 @@
     std::vector<work_item> push(work_item item, time_point now)
     {
         this->collect_expired(now);
+        this->collect_late(now);
         auto& group = this->class_of(item.priority);
         auto& queue = find_or_add(group, item.organisation);
         unlink(group, queue);
         queue.share = item.share;
-        if (queue.items.empty()) {
+        if (queue.empty()) {
             queue.start_tag = earliest_start(group, queue);
         }
         queue.queued_cost += item.cost;
+        queue.fresh_cost += item.cost;
         if (has_deadline(item)) {
             this->deadlines_.emplace(item.deadline, item.id);
         }
         const auto id = item.id;
         const auto priority = item.priority;
-        queue.items.push_back({std::move(item), now});
-        this->positions_[id] = {priority, &queue, std::prev(queue.items.end())};
+        queue.fresh.push_back({std::move(item), now});
+        this->positions_[id] = {priority, &queue, std::prev(queue.fresh.end())};
+        if (group.rule.first_token_target > duration::zero()) {
+            group.becoming_late.emplace_back(now, id);
+        }
         ++group.size;
         link(group, queue);
         std::vector<work_item> refused;
@@ -182,6 +216,7 @@
     std::optional<work_item> pop(time_point now, room left)
     {
         this->collect_expired(now);
+        this->collect_late(now);
         auto* group = this->choose_class(left);
         if (group == nullptr) {
             return std::nullopt;
@@ -252,16 +287,16 @@
         const auto& group = found->second;
         double own = 0;
         double start = group.virtual_time;
-        auto shares = group.waiting_shares;
+        auto shares = group.fresh_shares;
         const auto it = group.organisations.find(organisation);
         if (it != group.organisations.end()) {
-            own = it->second.queued_cost;
+            own = it->second.fresh_cost;
             start = earliest_start(group, it->second);
-            shares -= it->second.items.empty() ? 0 : it->second.share;
+            shares -= it->second.fresh.empty() ? 0 : it->second.share;
         }
         // Until its turn comes the others are served at their shares, if they have that much.
         const auto lead = std::max(0.0, start - group.virtual_time) + own / share;
-        return own + std::min(lead * shares, group.queued_cost - own);
+        return own + std::min(lead * shares, group.fresh_cost - own);
     }
 
     double more_urgent_cost(unsigned priority) const
@@ -293,8 +328,9 @@
         auto& queue = *position.organisation;
         unlink(group, queue);
         work_item item = std::move(position.item->item);
-        queue.items.erase(position.item);
         queue.queued_cost -= item.cost;
+        queue.fresh_cost -= position.item->late ? 0 : item.cost;
+        (position.item->late ? queue.late : queue.fresh).erase(position.item);
         --group.size;
         link(group, queue);
         if (has_deadline(item)) {
@@ -303,7 +339,9 @@
         if (group.size == 0) {
             group.floor_credit = std::min(group.floor_credit, 0.0);
             group.queued_cost = 0;
-            group.waiting_shares = 0;
+            group.fresh_cost = 0;
+            group.fresh_shares = 0;
+            group.becoming_late.clear();
         }
         return item;
     }
@@ -316,7 +354,8 @@
             const auto kept = group.rule.floor * static_cast<double>(this->options_.max_items);
             if (group.size > 0 && static_cast<double>(group.size) > kept) {
                 const auto* victim = group.by_backlog.rbegin()->queue;
-                return this->take(victim->items.back().item.id);
+                const auto& items = victim->late;
+                return this->take((items.empty() ? victim->fresh.back() : items.front()).item.id);
             }
         }
         return this->take(this->positions_.begin()->first);
@@ -366,6 +405,34 @@
         }
     }
 
+    void collect_late(time_point now)
+    {
+        for (auto& [order, group] : this->classes_) {
+            const auto target =
+                std::chrono::duration<double, std::nano>(group.rule.first_token_target);
+            const auto patience = std::chrono::duration_cast<duration>(target * fresh_part);
+            auto& next = group.becoming_late;
+            while (patience > duration::zero() && !next.empty() &&
+                   now - next.front().first > patience) {
+                const auto found = this->positions_.find(next.front().second);
+                next.pop_front();
+                if (found != this->positions_.end()) {
+                    make_late(group, found->second);
+                }
+            }
+        }
+    }
+
+    static void make_late(priority_class& group, const item_position& position)
+    {
+        auto& queue = *position.organisation;
+        unlink(group, queue);
+        position.item->late = true;
+        queue.fresh_cost -= position.item->item.cost;
+        queue.late.splice(queue.late.end(), queue.fresh, position.item);
+        link(group, queue);
+    }
+
     work_queue_options options_;
     std::map<unsigned, priority_class> classes_;
     std::unordered_map<std::uint64_t, item_position> positions_;
--- a/Source/policy/work_queue.h
+++ b/Source/policy/work_queue.h
@@ -56,15 +56,15 @@
     ~work_queue();
 
     /// Adds a request. When the queue is full, an item of a less urgent priority, or of the
-    /// organisation furthest above its share, makes room.
+    /// organisation furthest above its share, makes room; first one that missed its target.
     /// @param item the request
     /// @param now the current time
     /// @return the items that were refused to stay within the limit; may contain the new item
     std::vector<work_item> push(work_item item, time_point now);
 
-    /// Takes the request to serve next: the oldest of an organisation, or its newest once the
-    /// oldest has waited for half of the first token target. Never one whose deadline
-    /// has passed; those leave size() and are returned by the next expire().
+    /// Takes the request to serve next. Within a priority, requests that can still meet the first
+    /// token target come before those that missed it. Never one whose deadline has passed; those
+    /// leave size() and are returned by the next expire().
     /// @param now the current time
     /// @param left if scarce, only the most urgent priority and owed floors are served. A small
     /// reserve spares urgent work the wait for a slot while less urgent work fills all others.
@@ -96,7 +96,7 @@
     /// @param priority order of the priority
     /// @param organisation the organisation of the request
     /// @param share weight of the organisation
-    /// @return tokens of the same priority, given the shares of the organisations that wait
+    /// @return tokens of the same priority that can still meet their target, given the shares
     [[nodiscard]] double cost_ahead(unsigned priority, const std::string& organisation,
                                     double share) const;
 
--- a/Tests/Measurements/measure_overload.cxx
+++ b/Tests/Measurements/measure_overload.cxx
@@ -61,6 +61,7 @@
     double load = 1;       ///< offered cost, times capacity
     double duration = 240; ///< seconds
     std::size_t short_queue = 2;
+    double reserve = 0.02; ///< part of the room that an entry keeps for urgent work
     std::uint64_t seed = 1;
 };
 
@@ -233,10 +234,16 @@
             }
             auto candidates = entry.views;
             bool probe = false;
+            unsigned total = 0;
+            unsigned taken = 0;
             for (auto& it : candidates) {
                 it.limit += this->extra_room();
                 it.dispatched_since = static_cast<unsigned>(entry.dispatches[it.id].size());
                 it.available = it.available && !entry.outliers.is_ejected(it.id);
+                if (it.available) {
+                    total += it.limit;
+                    taken += std::min(it.limit, it.reported_load + it.dispatched_since);
+                }
             }
             auto chosen = entry.selector.choose(candidates, {}, now);
             for (std::size_t i = 0; i < engine_count && !probe; ++i) {
@@ -248,7 +255,9 @@
             if (!chosen) {
                 return;
             }
-            const auto item = entry.queue.pop(now);
+            const bool scarce = total - taken <= this->options_.reserve * total;
+            const auto item =
+                entry.queue.pop(now, scarce ? policy::room::scarce : policy::room::ample);
             if (!item) {
                 return;
             }
@@ -532,6 +541,7 @@
     app.add_option("--duration", options.duration,
                    "virtual seconds; the first quarter is not counted");
     app.add_option("--short-queue", options.short_queue, "length of the short queue at an agent");
+    app.add_option("--reserve", options.reserve, "part of the room kept for urgent work");
     app.add_flag("--smoke", smoke, "short run");
     CLI11_PARSE(app, argc, argv);
     if (smoke) {
--- a/Tests/Measurements/measure_routing.cxx
+++ b/Tests/Measurements/measure_routing.cxx
@@ -213,8 +213,9 @@
                                       exponential(think_seconds, this->workload_)),
                               [this, request] { this->next_turn(request); });
         }
-        this->entries_[request.entry].pending.push_back(std::move(request));
-        this->route(this->entries_[request.entry]);
+        auto& entry = this->entries_[request.entry];
+        entry.pending.push_back(std::move(request));
+        this->route(entry);
     }
 
     void route(entry_state& entry)
--- a/Tests/policy/test_work_queue.cxx
+++ b/Tests/policy/test_work_queue.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -38,6 +39,7 @@
     std::vector<std::uint64_t> push(const work_item& item, time_point now)
     {
         this->drop_expired(now);
+        this->mark_late(now);
         auto& tag = this->tags_.try_emplace({item.priority, item.organisation}, -1e9).first->second;
         if (this->count(item.priority, &item.organisation) == 0) {
             tag = std::max(tag, this->virtual_times_[item.priority] - 16);
@@ -55,6 +57,7 @@
     std::uint64_t pop(time_point now, room left)
     {
         this->drop_expired(now);
+        this->mark_late(now);
         if (this->items_.empty()) {
             return 0;
         }
@@ -138,17 +141,34 @@
     {
         const auto ta = this->tags_.at({a.priority, a.organisation});
         const auto tb = this->tags_.at({b.priority, b.organisation});
-        return std::tie(ta, a.organisation) < std::tie(tb, b.organisation);
+        const bool la = this->late_.contains(a.id);
+        const bool lb = this->late_.contains(b.id);
+        return std::tie(la, ta, a.organisation) < std::tie(lb, tb, b.organisation);
+    }
+
+    static medlaryoke::duration target_of(const work_item& item)
+    {
+        return item.priority == 0 ? 40ms : item.priority == 1 ? 100ms : 1h;
+    }
+
+    void mark_late(time_point now)
+    {
+        for (const auto& it : this->items_) {
+            if (now - this->arrivals_[it.id] > target_of(it) * 8 / 10) {
+                this->late_.insert(it.id);
+            }
+        }
     }
 
     std::vector<work_item>::iterator oldest_or_newest(std::vector<work_item>::iterator oldest,
                                                       time_point now)
     {
-        const auto target = oldest->priority == 0 ? 40ms : oldest->priority == 1 ? 100ms : 1h;
+        const bool late = this->late_.contains(oldest->id);
         auto found = oldest;
         for (auto it = oldest; it != this->items_.end(); ++it) {
-            if (now - this->arrivals_[oldest->id] > target / 2 &&
-                it->priority == oldest->priority && it->organisation == oldest->organisation) {
+            if ((late || now - this->arrivals_[oldest->id] > target_of(*oldest) / 2) &&
+                late == this->late_.contains(it->id) && it->priority == oldest->priority &&
+                it->organisation == oldest->organisation) {
                 found = it;
             }
         }
@@ -169,7 +189,7 @@
     std::uint64_t evict()
     {
         auto victim = this->items_.end();
-        std::tuple<unsigned, double, std::string> most;
+        std::tuple<unsigned, double, std::string, bool, std::int64_t> most;
         for (auto it = this->items_.begin(); it != this->items_.end(); ++it) {
             const auto floor =
                 this->floors_.contains(it->priority) ? this->floors_[it->priority] : 0;
@@ -177,7 +197,11 @@
                 floor * static_cast<double>(this->options_.max_items)) {
                 continue;
             }
-            const std::tuple candidate(it->priority, this->backlog(*it), it->organisation);
+            // The oldest late request, or else the newest fresh one.
+            const bool late = this->late_.contains(it->id);
+            const auto order = static_cast<std::int64_t>(it->id) * (late ? -1 : 1);
+            const std::tuple candidate(it->priority, this->backlog(*it), it->organisation, late,
+                                       order);
             if (victim == this->items_.end() || candidate >= most) {
                 most = candidate;
                 victim = it;
@@ -220,6 +244,7 @@
     std::vector<work_item> items_; ///< in order of arrival
     std::vector<std::uint64_t> expired_;
     std::map<std::uint64_t, time_point> arrivals_;
+    std::set<std::uint64_t> late_;
     std::map<key, double> tags_;
     std::map<key, double> shares_;
     std::map<unsigned, double> floors_;
