policy: Hold the concurrency limit below the last overload

Cause: the window after a cut still held calls from before it, so one overshoot cut the limit several times; and the limit returned to it within two windows.

Change: calls in flight at a cut are not counted, cuts take at most 10%, and the limit stays below the one at which the latency grew for ten windows.

--- a/Source/policy/concurrency_limit.cxx
+++ b/Source/policy/concurrency_limit.cxx
@@ -16,11 +16,12 @@
 constexpr double probe_part = 0.5;
 constexpr double probe_gain = 0.8;
 constexpr unsigned windows_after_gain = 5;
-constexpr double smoothing = 0.5;
 /// One request too many can multiply the latency, so a cut in proportion to the latency went far
 /// below the capacity.
-constexpr double strongest_cut = 0.8;
-constexpr double growth = 2; ///< requests, before smoothing
+constexpr double strongest_cut = 0.9;
+constexpr double growth = 1; ///< requests a window
+/// The limit at which the latency last grew is tried again after so many windows.
+constexpr unsigned windows_between_attempts = 10;
 
 } // namespace
 
@@ -48,7 +49,10 @@
     if (outcome == call_outcome::abandoned) {
         return;
     }
-    if (outcome == call_outcome::succeeded) {
+    if (this->outdated_ > 0) {
+        --this->outdated_;
+    }
+    else if (outcome == call_outcome::succeeded) {
         this->latency_sum_ += std::chrono::duration<double>(latency).count();
         ++this->samples_;
     }
@@ -99,15 +103,23 @@
 void concurrency_limit::adapt(double mean)
 {
     this->best_latency_ = this->best_latency_ == 0 ? mean : std::min(mean, this->best_latency_);
-    const auto gradient = std::clamp(
-        this->options_.tolerance * this->best_latency_ / std::max(mean, 1e-9), strongest_cut, 1.0);
-    auto target = this->limit_ * gradient;
-    // An idle upstream has not shown that it can take more.
-    if (!this->refused_ && this->most_in_flight_ * 2 >= this->limit()) {
-        target += growth;
+    const auto gradient = this->options_.tolerance * this->best_latency_ / std::max(mean, 1e-9);
+    if (gradient < 1) {
+        this->ceiling_ = this->limit_;
+        this->windows_below_ceiling_ = 0;
+        this->outdated_ = this->in_flight_;
+        this->limit_ *= std::max(gradient, strongest_cut);
+    }
+    else if (!this->refused_ && this->most_in_flight_ * 2 >= this->limit()) {
+        // Below half of the limit the upstream has not shown that it can take more.
+        ++this->windows_below_ceiling_;
+        const bool hold = this->windows_below_ceiling_ < windows_between_attempts;
+        this->limit_ =
+            hold && this->ceiling_ > 0
+                ? std::max(this->limit_, std::min(this->limit_ + growth, this->ceiling_ - growth))
+                : this->limit_ + growth;
     }
-    this->limit_ = std::clamp<double>(this->limit_ + smoothing * (target - this->limit_),
-                                      this->options_.minimum, this->options_.maximum);
+    this->limit_ = std::clamp<double>(this->limit_, this->options_.minimum, this->options_.maximum);
 }
 
 } // namespace medlaryoke::policy
--- a/Source/policy/concurrency_limit.h
+++ b/Source/policy/concurrency_limit.h
@@ -57,7 +57,10 @@
     double latency_sum_ = 0;  ///< seconds
     double best_latency_ = 0; ///< seconds; zero if unknown
     double limit_before_probe_ = 0;
-    unsigned windows_; ///< since the last probe
+    double ceiling_ = 0; ///< limit at which the latency last grew; zero if unknown
+    unsigned windows_below_ceiling_ = 0;
+    unsigned outdated_ = 0; ///< calls from before the last cut, whose latency is not counted
+    unsigned windows_;      ///< since the last probe
     bool refused_ = false;
 };
 
--- a/Tests/Measurements/measure_overload.cxx
+++ b/Tests/Measurements/measure_overload.cxx
@@ -55,7 +55,7 @@
 enum class fault { none, errors, machine_lost };
 
 struct run_options {
-    placement queue = placement::short_at_agent;
+    placement queue = placement::entry_only;
     bool adaptive = true;
     fault kind = fault::none;
     double load = 1;       ///< offered cost, times capacity
@@ -137,8 +137,8 @@
                 {.queue = policy::work_queue({.priorities = rules(), .max_items = long_queue}),
                  .admission = policy::admission_control({.priorities = rules()}),
                  .selector = policy::upstream_selector(options.seed * 10 + i),
-                 .outliers = {},
-                 .retries = {}});
+                 .outliers = policy::outlier_detector(),
+                 .retries = policy::retry_budget()});
             auto& entry = this->entries_.back();
             entry.outliers.set_members(ids);
             entry.dispatches.resize(engine_count);
