policy: Return repaired upstreams sooner

Cause: after a fault goodput took 11 to 12 s to return: failed calls had cut the limit of the agents to 1, and each of three probes took a whole answer.

Change: failures leave the concurrency limit alone (the outlier detector acts on them); two probes suffice, count from the start of the answer and are at most 4 s apart.

--- a/Source/policy/concurrency_limit.cxx
+++ b/Source/policy/concurrency_limit.cxx
@@ -56,7 +56,7 @@
         this->latency_sum_ += std::chrono::duration<double>(latency).count();
         ++this->samples_;
     }
-    else if (!this->refused_) {
+    else if (outcome == call_outcome::refused && !this->refused_) {
         // Once per window: the refusals of one overload arrive together.
         this->refused_ = true;
         this->limit_ = std::max<double>(this->options_.minimum, this->limit_ * refusal_backoff);
--- a/Source/policy/concurrency_limit.h
+++ b/Source/policy/concurrency_limit.h
@@ -10,7 +10,7 @@
 enum class call_outcome {
     succeeded,
     refused,   ///< the upstream said that it is overloaded
-    failed,    ///< error or timeout
+    failed,    ///< error or timeout; for outlier_detector, and no sign of overload
     abandoned, ///< cancelled by the caller; says nothing about the upstream
 };
 
--- a/Source/policy/outlier_detector.h
+++ b/Source/policy/outlier_detector.h
@@ -20,9 +20,9 @@
     unsigned min_samples = 20; ///< results in a window before the rate counts
     duration window = std::chrono::seconds(10);
     duration first_ejection = std::chrono::seconds(1);
-    /// Ejections double up to this; below 10 s, so that a repaired upstream is back within 10 s.
-    duration longest_ejection = std::chrono::seconds(8);
-    unsigned probes = 3; ///< successful requests, one at a time, that end an ejection
+    /// Ejections double up to this, so that a repaired upstream is back well within 10 s.
+    duration longest_ejection = std::chrono::seconds(4);
+    unsigned probes = 2; ///< successful requests, one at a time, that end an ejection
 };
 
 /// Takes upstreams that fail out of rotation, probes them and brings them back. Refusals for
@@ -35,7 +35,8 @@
     /// @param upstreams ids of all upstreams of the group
     void set_members(std::span<const std::uint64_t> upstreams);
 
-    /// Learns from a call, also from a probe.
+    /// Learns from a call, also from a probe. A call should be reported as succeeded when its
+    /// answer starts: waiting for the end of long answers delays the return by several seconds.
     /// @param upstream id of the upstream
     /// @param outcome how the call ended
     /// @param now the current time
--- a/Tests/policy/test_concurrency_limit.cxx
+++ b/Tests/policy/test_concurrency_limit.cxx
@@ -57,6 +57,17 @@
     cr_assert(limit.limit() == 10 && limit.in_flight() == 0);
 }
 
+// Guards against a fault taking the limit to nothing, from which it recovers slowly.
+Test(concurrency_limit, keeps_the_limit_when_calls_fail)
+{
+    concurrency_limit limit({.initial = 10});
+    for (int i = 0; i < 1'000; ++i) {
+        cr_assert(limit.try_acquire());
+        limit.release(1ms, call_outcome::failed);
+    }
+    cr_assert(limit.limit() == 10 && limit.in_flight() == 0);
+}
+
 // Guards against a slot that is lost or handed out twice.
 Test(concurrency_limit, never_admits_more_than_the_limit)
 {
@@ -65,7 +76,7 @@
         cr_assert(limit.try_acquire());
     }
     cr_assert(!limit.try_acquire());
-    limit.release(1ms, call_outcome::failed);
+    limit.release(1ms, call_outcome::refused);
     cr_assert(limit.in_flight() == 4 && limit.limit() == 4);
     cr_assert(!limit.try_acquire());
 }
