handover: Move work between the old router and this system

For one year work moves between two systems, and must neither be lost nor be run by both.

handover_ledger lets the order of records decide who owns a piece of work: work is withdrawn before it is started or not at all, and is given back only if its single runner says that it was not run. handover_controller lets one entry, chosen by rendezvous hashing, start and run each piece of work under its id as the idempotency key; another entry takes over 5 s after the runner is lost. handover_api serves offer, withdraw, return, complete and GET.

--- a/Source/commands/operator_client.cxx
+++ b/Source/commands/operator_client.cxx
@@ -82,7 +82,7 @@
     this->runtime_.stop();
 }
 
-std::string operator_client::fetch(transport::http_request request)
+std::string operator_client::fetch(const transport::http_request& request)
 {
     const bool is_change = request.method != "GET";
     const auto promise = std::make_shared<std::promise<reply>>();
@@ -90,7 +90,7 @@
     transport::http_timeouts timeouts;
     timeouts.first_byte = this->timeout_;
     timeouts.between_bytes = this->timeout_;
-    this->client_.fetch(std::move(request), timeouts,
+    this->client_.fetch(request, timeouts,
                         [promise](reply it) { promise->set_value(std::move(it)); });
     const auto result = answer.get();
     if (const auto* failure = std::get_if<transport::http_failure>(&result)) {
--- a/Source/commands/operator_client.h
+++ b/Source/commands/operator_client.h
@@ -28,7 +28,7 @@
     /// @return the body of a successful reply
     /// @throws error as reported by the entry; unavailable if there was no reply;
     /// outcome_unknown if a change may have been sent and there was no reply
-    std::string fetch(transport::http_request request);
+    std::string fetch(const transport::http_request& request);
 
     /// Follows a stream until it ends.
     /// @param target path and query
--- /dev/null
+++ b/Source/controllers/handover_controller.cxx
@@ -0,0 +1,380 @@
+#include "controllers/handover_controller.h"
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "base/digest.h"
+#include "base/identifiers.h"
+#include "base/logging.h"
+
+namespace medlaryoke::controllers {
+
+namespace {
+
+using policy::handover_action;
+using policy::handover_record;
+using policy::work_item;
+using policy::work_owner;
+using policy::work_state;
+
+constexpr auto stream_name = "handover";
+constexpr std::size_t read_batch = 512;
+
+} // namespace
+
+class handover_controller::implementation : public std::enable_shared_from_this<implementation> {
+public:
+    implementation(transport::log_service& service, const clock_source& time, std::string name,
+                   handover_ports needs, handover_options limits)
+        : log_(service), clock_(time), runner_(std::move(name)), ports_(std::move(needs)),
+          options_(limits),
+          writer_(service,
+                  {.name = stream_name,
+                   .offset = [this] { return this->offset(); },
+                   .fold =
+                       [this](const std::vector<transport::stored_record>& records) {
+                           this->fold(records);
+                       }},
+                  time, this->ports_.after, {})
+    {
+    }
+
+    void read()
+    {
+        if (this->stopped) {
+            return;
+        }
+        this->log_.read(stream_name, this->offset() + 1, read_batch, this->options_.poll_time,
+                        [self = this->weak_from_this()](const transport::read_result& result) {
+                            if (const auto controller = self.lock()) {
+                                std::visit([&](const auto& it) { controller->on_result(it); },
+                                           result);
+                            }
+                        });
+    }
+
+    void check()
+    {
+        if (this->stopped) {
+            return;
+        }
+        for (const auto& [id, item] : this->find_due_work()) {
+            this->take(id, item);
+        }
+        this->later(this->options_.check_interval, [](auto& self) { self.check(); });
+    }
+
+    void submit(handover_record record, std::function<void(handover_result)> done)
+    {
+        const auto shared = std::make_shared<const handover_record>(std::move(record));
+        auto cancellation = *shared;
+        cancellation.action = handover_action::cancel;
+        cancellation.content.clear();
+        stream_operation operation;
+        operation.record = policy::encode_record(*shared);
+        operation.cancellation = policy::encode_record(cancellation);
+        operation.answer_if_known = [self = this->shared_from_this(), shared, done] {
+            const auto outcome = self->outcome_of(shared->operation_id);
+            if (outcome) {
+                done(*outcome);
+            }
+            return outcome.has_value();
+        };
+        operation.answer_if_refused = [self = this->shared_from_this(), shared, done] {
+            const auto expected = self->evaluate(*shared);
+            const bool refused = std::holds_alternative<policy::handover_refused>(expected);
+            if (refused) {
+                done(std::get<policy::handover_refused>(expected));
+            }
+            return refused;
+        };
+        operation.refuse = [done](write_refused it) { done(std::move(it)); };
+        operation.leave_unknown = [done](write_unknown it) { done(std::move(it)); };
+        this->writer_.submit(std::move(operation));
+    }
+
+    std::optional<work_item> find(const std::string& work_id) const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        const auto* item = this->ledger_.find(work_id);
+        return item == nullptr ? std::nullopt : std::optional(*item);
+    }
+
+    std::atomic<bool> stopped = false;
+
+private:
+    using due_list = std::vector<std::pair<std::string, work_item>>;
+
+    std::uint64_t offset() const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->ledger_.offset();
+    }
+
+    void fold(const std::vector<transport::stored_record>& records)
+    {
+        const std::scoped_lock lock(this->mutex_);
+        for (const auto& it : records) {
+            if (it.offset > this->ledger_.offset()) {
+                this->ledger_.fold(it.offset, policy::decode_handover(it.data));
+            }
+        }
+    }
+
+    std::optional<handover_result> outcome_of(const std::string& operation_id) const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        const auto* outcome = this->ledger_.outcome_of(operation_id);
+        if (outcome == nullptr) {
+            return std::nullopt;
+        }
+        if (const auto* accepted = std::get_if<policy::handover_accepted>(outcome)) {
+            return *accepted;
+        }
+        if (const auto* refused = std::get_if<policy::handover_refused>(outcome)) {
+            return *refused;
+        }
+        return write_refused{"the operation was cancelled after the log lost the answer"};
+    }
+
+    policy::handover_outcome evaluate(const handover_record& record) const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->ledger_.evaluate(record);
+    }
+
+    void on_result(const transport::read_records& result)
+    {
+        const auto before = this->offset();
+        this->fold(result.records);
+        if (this->offset() == before && !result.records.empty()) {
+            this->read_later();
+            return;
+        }
+        this->read();
+    }
+
+    void on_result(const transport::read_expired& result)
+    {
+        this->messages_.warning("handover records before {} have expired", result.earliest);
+        {
+            const std::scoped_lock lock(this->mutex_);
+            this->ledger_.skip_to(result.earliest - 1);
+        }
+        this->read_later();
+    }
+
+    void on_result(const transport::read_unavailable&) { this->read_later(); }
+
+    void read_later()
+    {
+        this->later(this->options_.check_interval, [](auto& self) { self.read(); });
+    }
+
+    /// Marks the work that this entry takes now as busy.
+    due_list find_due_work()
+    {
+        auto live = this->ports_.live_runners();
+        live.push_back(this->runner_);
+        const auto now = this->clock_.now();
+        const std::scoped_lock lock(this->mutex_);
+        due_list due;
+        const auto open = this->ledger_.open_work();
+        std::erase_if(this->lost_since_, [&open](const auto& it) {
+            return !std::ranges::binary_search(open, it.first);
+        });
+        for (const auto& id : open) {
+            const auto* item = this->ledger_.find(id);
+            if (item != nullptr && !this->busy_.contains(id) &&
+                this->is_due(id, *item, live, now)) {
+                this->busy_.insert(id);
+                due.emplace_back(id, *item);
+            }
+        }
+        return due;
+    }
+
+    bool is_due(const std::string& id, const work_item& item, const std::vector<std::string>& live,
+                time_point now)
+    {
+        if (item.state == work_state::started) {
+            if (item.runner == this->runner_) {
+                return true;
+            }
+            if (std::ranges::find(live, item.runner) != live.end()) {
+                this->lost_since_.erase(id);
+                return false;
+            }
+            const auto lost_since = this->lost_since_.emplace(id, now).first->second;
+            if (now - lost_since < this->options_.takeover_delay) {
+                return false;
+            }
+        }
+        const auto weight = [&id](const std::string& name) { return hash64(id + "/" + name); };
+        return std::ranges::max(live, {}, weight) == this->runner_;
+    }
+
+    /// Starts the work, or goes on with it if this entry has started it already.
+    void take(const std::string& id, const work_item& item)
+    {
+        if (item.state == work_state::started && item.runner == this->runner_) {
+            this->execute(id);
+            return;
+        }
+        this->submit({.operation_id = make_unique_id("start"),
+                      .work_id = id,
+                      .action = handover_action::start,
+                      .by = work_owner::new_router,
+                      .content = "",
+                      .runner = this->runner_,
+                      .previous_start = item.started_at},
+                     [self = this->weak_from_this(), id](const handover_result& result) {
+                         const auto controller = self.lock();
+                         if (!controller || controller->stopped) {
+                             return;
+                         }
+                         if (std::holds_alternative<policy::handover_accepted>(result)) {
+                             controller->execute(id);
+                         }
+                         else {
+                             controller->release(id);
+                         }
+                     });
+    }
+
+    void execute(const std::string& id)
+    {
+        const auto item = this->find(id);
+        if (!item || item->state != work_state::started || item->runner != this->runner_) {
+            this->release(id);
+            return;
+        }
+        this->ports_.execute(
+            id, item->content,
+            [self = this->weak_from_this(), id, item = *item](const work_result& result) {
+                if (const auto controller = self.lock()) {
+                    std::visit([&](const auto& it) { controller->on_executed(id, item, it); },
+                               result);
+                }
+            });
+    }
+
+    void on_executed(const std::string& id, const work_item& item, const work_done& result)
+    {
+        this->close(id, item, handover_action::complete, result.result);
+    }
+
+    void on_executed(const std::string& id, const work_item& item, const work_unknown& result)
+    {
+        const nlohmann::json content{{"outcome", "unknown"}, {"reason", result.reason}};
+        this->close(id, item, handover_action::complete,
+                    content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    }
+
+    void on_executed(const std::string& id, const work_item& item, const work_not_run& result)
+    {
+        this->messages_.info("work {} was not run: {}", id, result.reason);
+        if (item.starts == 1) {
+            this->close(id, item, handover_action::give_back, "");
+            return;
+        }
+        // The entry that started the work first may have run it, so it cannot be given back.
+        this->later(this->options_.retry_interval, [id](auto& self) { self.execute(id); });
+    }
+
+    /// Appends the end of the work until the log has taken it.
+    void close(const std::string& id, const work_item& item, handover_action action,
+               const std::string& content)
+    {
+        this->submit({.operation_id = make_unique_id("close"),
+                      .work_id = id,
+                      .action = action,
+                      .by = work_owner::new_router,
+                      .content = content,
+                      .runner = this->runner_,
+                      .previous_start = item.started_at},
+                     [self = this->weak_from_this(), id, item, action,
+                      content](const handover_result& result) {
+                         const auto controller = self.lock();
+                         if (!controller) {
+                             return;
+                         }
+                         if (std::holds_alternative<policy::handover_accepted>(result) ||
+                             std::holds_alternative<policy::handover_refused>(result)) {
+                             controller->release(id);
+                             return;
+                         }
+                         controller->later(controller->options_.retry_interval,
+                                           [id, item, action, content](auto& that) {
+                                               that.close(id, item, action, content);
+                                           });
+                     });
+    }
+
+    void release(const std::string& id)
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->busy_.erase(id);
+    }
+
+    template <typename Function>
+    void later(duration delay, Function fn)
+    {
+        this->ports_.after(delay, [self = this->weak_from_this(), fn = std::move(fn)] {
+            if (const auto controller = self.lock(); controller && !controller->stopped) {
+                fn(*controller);
+            }
+        });
+    }
+
+    transport::log_service& log_;
+    const clock_source& clock_;
+    std::string runner_;
+    handover_ports ports_;
+    handover_options options_;
+    mutable std::mutex mutex_;
+    policy::handover_ledger ledger_;
+    std::set<std::string> busy_; ///< work that this entry starts, runs or ends
+    std::map<std::string, time_point> lost_since_;
+    operation_writer writer_;
+    logger messages_{"entry"};
+};
+
+handover_controller::handover_controller(transport::log_service& log, const clock_source& clock,
+                                         std::string runner, handover_ports ports,
+                                         handover_options options)
+    : impl_(std::make_shared<implementation>(log, clock, std::move(runner), std::move(ports),
+                                             options))
+{
+}
+
+handover_controller::~handover_controller()
+{
+    this->impl_->stopped = true;
+}
+
+void handover_controller::start()
+{
+    this->impl_->read();
+    this->impl_->check();
+}
+
+void handover_controller::submit(policy::handover_record record,
+                                 std::function<void(handover_result)> done)
+{
+    this->impl_->submit(std::move(record), std::move(done));
+}
+
+std::optional<policy::work_item> handover_controller::find(const std::string& work_id) const
+{
+    return this->impl_->find(work_id);
+}
+
+} // namespace medlaryoke::controllers
--- a/Tests/commands/test_config_commands.cxx
+++ b/Tests/commands/test_config_commands.cxx
@@ -88,6 +88,7 @@
 {
     arguments.insert(arguments.begin(), "medlaryoke");
     std::vector<char*> argv;
+    argv.reserve(arguments.size());
     for (auto& it : arguments) {
         argv.push_back(it.data());
     }
--- /dev/null
+++ b/Tests/controllers/test_handover.cxx
@@ -0,0 +1,274 @@
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <criterion/criterion.h>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include "controllers/handover_api.h"
+#include "controllers/handover_controller.h"
+#include "fakes/fake_log.h"
+#include "fakes/fake_response_stream.h"
+#include "fakes/hand_driven_time.h"
+
+using namespace std::chrono_literals;
+using namespace medlaryoke;
+using namespace medlaryoke::controllers;
+using fakes::append_fate;
+using nlohmann::json;
+using policy::work_state;
+
+namespace {
+
+/// Entries that share a log and record what they execute.
+class fleet {
+public:
+    using done_function = std::function<void(work_result)>;
+
+    explicit fleet(unsigned count)
+    {
+        for (unsigned n = 0; n < count; ++n) {
+            this->names.push_back(fmt::format("entry-{}", n));
+            this->live.push_back(this->names.back());
+        }
+        for (const auto& name : this->names) {
+            handover_ports ports{time.timer(), [this] { return this->live; },
+                                 [this, name](const std::string& id, const std::string& payload,
+                                              done_function done) {
+                                     this->execute(name, id, payload, std::move(done));
+                                 }};
+            this->controllers.push_back(std::make_unique<handover_controller>(
+                this->log, this->time.clock, name, std::move(ports)));
+            this->controllers.back()->start();
+        }
+        this->api = std::make_unique<handover_api>(*this->controllers.front());
+    }
+
+    std::shared_ptr<fakes::fake_response_stream> send(const std::string& method,
+                                                      const std::string& path,
+                                                      const std::string& operation = "",
+                                                      const std::string& body = "{\"n\":1}")
+    {
+        transport::http_request request{method, "/v1/handover/" + path, {}, body};
+        if (!operation.empty()) {
+            request.headers.push_back({"Medlaryoke-Operation", operation});
+        }
+        auto response = std::make_shared<fakes::fake_response_stream>();
+        cr_assert(this->api->handle(request, response));
+        return response;
+    }
+
+    [[nodiscard]] work_state state_of(const std::string& id) const
+    {
+        return this->controllers.back()->find(id).value_or(policy::work_item{}).state;
+    }
+
+    fakes::hand_driven_time time;
+    fakes::fake_log log{time};
+    std::vector<std::string> names;
+    std::vector<std::string> live;
+    std::vector<std::unique_ptr<handover_controller>> controllers;
+    std::unique_ptr<handover_api> api;
+    duration run_time = 50ms;
+    bool hold = false;                ///< executions neither run nor answer
+    bool not_run = false;             ///< executions are refused
+    std::vector<std::string> runners; ///< who executed, one a call
+    std::set<std::string> ran;        ///< work whose execution was not refused
+    std::vector<done_function> held;
+
+private:
+    void execute(const std::string& name, const std::string& id, const std::string& payload,
+                 done_function done)
+    {
+        cr_assert(payload == "{\"n\":1}");
+        this->runners.push_back(name);
+        if (this->hold) {
+            this->held.push_back(std::move(done));
+            return;
+        }
+        if (this->not_run) {
+            done(work_not_run{"overloaded"});
+            return;
+        }
+        this->ran.insert(id);
+        this->time.after(this->run_time,
+                         [done = std::move(done)] { done(work_done{"{\"answer\":42}"}); });
+    }
+};
+
+json parse_reply(const std::shared_ptr<fakes::fake_response_stream>& response, unsigned status)
+{
+    const auto& head = response->head;
+    cr_assert(head && head->status == status, "%s", response->body.c_str());
+    return json::parse(response->body);
+}
+
+} // namespace
+
+// Guards against offered work that nobody runs, or that several entries run.
+Test(handover, offered_work_is_run_once_by_one_entry)
+{
+    fleet it(3);
+    std::vector<std::shared_ptr<fakes::fake_response_stream>> offers;
+    for (int n = 0; n < 20; ++n) {
+        offers.push_back(it.send("POST", fmt::format("w{}/offer", n), "op-1"));
+    }
+    it.time.run_for(3s);
+    for (int n = 0; n < 20; ++n) {
+        const auto reply = parse_reply(offers.at(static_cast<std::size_t>(n)), 200);
+        cr_assert(reply.at("owner") == "new" && reply.at("state") == "offered");
+        const auto state = parse_reply(it.send("GET", fmt::format("w{}", n)), 200);
+        cr_assert(state.at("state") == "completed" && state.at("result").at("answer") == 42);
+    }
+    cr_assert(it.runners.size() == 20);
+    cr_assert(it.log.records().size() == 60, "an offer, a start and an end for each");
+}
+
+// Guards against work that is lost with the entry that ran it, run twice, or ended twice when
+// that entry was only paused.
+Test(handover, lost_entry_is_replaced)
+{
+    fleet it(3);
+    it.hold = true;
+    it.send("POST", "w/offer", "op-1");
+    it.time.run_for(1s);
+    cr_assert(it.runners.size() == 1);
+    std::erase(it.live, it.runners.front());
+    it.hold = false;
+    it.time.run_for(3s);
+    cr_assert(it.runners.size() == 1, "the takeover must wait");
+    it.time.run_for(5s);
+    cr_assert(it.runners.size() == 2 && it.runners[0] != it.runners[1]);
+    cr_assert(it.ran.contains("w") && it.state_of("w") == work_state::completed);
+    const auto version = parse_reply(it.send("GET", "w"), 200).at("version");
+    it.live.push_back(it.runners.front());
+    it.held.front()(work_done{"{\"answer\":43}"});
+    it.time.run_for(5s);
+    cr_assert(parse_reply(it.send("GET", "w"), 200).at("version") == version);
+    cr_assert(it.runners.size() == 2);
+}
+
+// Guards against work that the old router takes back while this system runs it.
+Test(handover, withdrawn_work_is_never_run)
+{
+    unsigned withdrawn = 0;
+    for (unsigned round = 0; round < 200; ++round) {
+        fleet it(2);
+        it.send("POST", "w/offer", "op-1");
+        it.time.run_for(std::chrono::milliseconds(200 + round));
+        const auto reply = it.send("POST", "w/withdraw", "op-2");
+        it.time.run_for(3s);
+        const auto& head = reply->head;
+        const bool accepted = head && head->status == 200;
+        cr_assert(accepted != it.ran.contains("w"), "round %u", round);
+        withdrawn += accepted ? 1 : 0;
+    }
+    cr_assert(withdrawn > 20 && withdrawn < 180, "%u of 200 were withdrawn", withdrawn);
+}
+
+// Guards against lost answers of the log that lose work, end it twice or change an answer.
+Test(handover, lost_answers_are_settled)
+{
+    std::mt19937 random(20261204);
+    for (unsigned round = 0; round < 60; ++round) {
+        fleet it(2);
+        for (int n = 0; n < 4; ++n) {
+            it.log.fates.push_back(static_cast<append_fate>(random() % 4));
+        }
+        const auto first = it.send("POST", "w/offer", "op-1");
+        it.time.run_for(30s);
+        const auto again = it.send("POST", "w/offer", "op-1");
+        it.time.run_for(1s);
+        const auto& head = first->head;
+        const auto status = head ? head->status : 0;
+        cr_assert(status == 200 || status == 503, "round %u: %u", round, status);
+        const auto& repeated = again->head;
+        cr_assert(repeated && repeated->status == status && again->body == first->body, "round %u",
+                  round);
+        it.time.run_for(30s);
+        cr_assert(it.ran.contains("w") == (status == 200), "round %u", round);
+        cr_assert(it.state_of("w") ==
+                      (status == 200 ? work_state::completed : work_state::with_old),
+                  "round %u", round);
+    }
+}
+
+// Guards against an offer that is accepted in an outage, and against a result that is lost in one.
+Test(handover, outage)
+{
+    fleet it(2);
+    it.log.outage = true;
+    const auto refused = it.send("POST", "v/offer", "op-1");
+    it.time.run_for(1s);
+    parse_reply(refused, 503);
+    it.log.outage = false;
+    it.run_time = 2s;
+    it.send("POST", "w/offer", "op-1");
+    it.time.run_for(1s);
+    it.log.outage = true;
+    it.time.run_for(60s);
+    cr_assert(it.state_of("w") == work_state::started && it.ran.contains("w"));
+    it.log.outage = false;
+    it.time.run_for(5s);
+    cr_assert(it.state_of("w") == work_state::completed && it.runners.size() == 1);
+    cr_assert(it.state_of("v") == work_state::with_old);
+}
+
+// Guards against work that stays with this system although it cannot run it, and against work
+// that is given back although a lost entry may have run it.
+Test(handover, work_that_was_not_run_goes_back)
+{
+    fleet it(2);
+    it.not_run = true;
+    it.send("POST", "w/offer", "op-1");
+    it.time.run_for(2s);
+    const auto back = parse_reply(it.send("GET", "w"), 200);
+    cr_assert(back.at("owner") == "old" && it.runners.size() == 1);
+    it.not_run = false;
+    it.hold = true;
+    it.send("POST", "w/offer", "op-2");
+    it.time.run_for(2s);
+    std::erase(it.live, it.runners.back());
+    it.hold = false;
+    it.not_run = true;
+    it.time.run_for(20s);
+    cr_assert(it.state_of("w") == work_state::started);
+    it.not_run = false;
+    it.time.run_for(5s);
+    cr_assert(it.state_of("w") == work_state::completed && it.ran.contains("w"));
+}
+
+// Guards against requests of the old router that are accepted against the owner's will, or that
+// are answered without a typed error.
+Test(handover, interface_refuses_wrong_requests)
+{
+    fleet it(1);
+    it.hold = true;
+    parse_reply(it.send("GET", "w"), 404);
+    parse_reply(it.send("POST", "w/offer"), 400);
+    parse_reply(it.send("POST", "w/offer", "op-1", "{"), 400);
+    parse_reply(it.send("POST", "w/offer", "op-1", "[]"), 400);
+    parse_reply(it.send("POST", "w/offer", "op-1", "\"" + std::string(300'000, 'a') + "\""), 413);
+    parse_reply(it.send("POST", "w/start", "op-1"), 404);
+    parse_reply(it.send("POST", "w%00/offer", "op-1"), 400);
+    parse_reply(it.send("GET", "w/offer", "op-1"), 400);
+    it.send("POST", "w/offer", "op-1");
+    it.time.run_for(1s);
+    for (const auto* action : {"offer", "withdraw", "return", "complete"}) {
+        const auto reply = it.send("POST", fmt::format("w/{}", action), "op-9");
+        it.time.run_for(1s);
+        const auto message = parse_reply(reply, 409).at("error").at("message").get<std::string>();
+        cr_assert(message == "work \"w\" is started and owned by the new router since version 2");
+    }
+    const auto done = it.send("POST", "v/complete", "op-1");
+    it.time.run_for(1s);
+    cr_assert(parse_reply(done, 200).at("owner") == "old");
+    const auto late = it.send("POST", "v/offer", "op-2");
+    it.time.run_for(1s);
+    parse_reply(late, 409);
+}
