--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -8,13 +8,13 @@
 #include <exception>
 #include <limits>
 #include <mutex>
+#include <string_view>
 #include <unordered_set>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -24,6 +24,7 @@
 #include <fmt/format.h>
 
 #include "base/logging.h"
+#include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
 #include "transport/tcp_address.h"
 
@@ -107,7 +108,10 @@
 class client_exchange final : public http_exchange,
                               public std::enable_shared_from_this<client_exchange> {
 public:
-    explicit client_exchange(http_events events) : events_(std::move(events)) {}
+    client_exchange(http_events events, std::shared_ptr<const std::atomic<bool>> client_gone)
+        : events_(std::move(events)), client_gone_(std::move(client_gone))
+    {
+    }
 
     void cancel() override;
 
@@ -117,38 +121,42 @@
         this->connection_ = connection;
     }
 
-    [[nodiscard]] bool over() const { return this->over_; }
+    [[nodiscard]] bool over() const { return this->over_ || *this->client_gone_; }
 
     void head(const http_head& value)
     {
-        if (!this->over_ && this->events_.on_head) {
+        if (!this->over() && this->events_.on_head) {
             run_callback([&] { this->events_.on_head(value); });
         }
     }
 
     void data(std::string value)
     {
-        if (!this->over_ && this->events_.on_data) {
+        if (!this->over() && this->events_.on_data) {
             run_callback([&] { this->events_.on_data(std::move(value)); });
         }
     }
 
     void end()
     {
-        if (!this->over_.exchange(true) && this->events_.on_end) {
+        if (this->finish() && this->events_.on_end) {
             run_callback([&] { this->events_.on_end(); });
         }
     }
 
     void failure(const http_failure& value)
     {
-        if (!this->over_.exchange(true) && this->events_.on_failure) {
+        if (this->finish() && this->events_.on_failure) {
             run_callback([&] { this->events_.on_failure(value); });
         }
     }
 
 private:
+    /// @return whether this call ended the exchange
+    bool finish() { return !this->over_.exchange(true) && !*this->client_gone_; }
+
     http_events events_;
+    std::shared_ptr<const std::atomic<bool>> client_gone_;
     std::atomic<bool> over_ = false;
     std::mutex mutex_;
     std::weak_ptr<client_connection> connection_;
@@ -159,7 +167,7 @@
 public:
     explicit client_connection(std::shared_ptr<client_pool> pool)
         : pool_(std::move(pool)), socket_(asio::make_strand(pool_->context)),
-          timer_(socket_.get_executor())
+          deadline_(socket_.get_executor(), [this] { this->timed_out(); })
     {
     }
 
@@ -194,13 +202,15 @@
     void got_body(const error_code& ec);
     void complete();
     void fail(error_kind kind, const std::string& what);
-    void timed_out(const std::string& what, duration limit);
-    void arm(duration limit, std::string what);
+    void timed_out();
+    void set_limit(duration limit, std::string_view waiting_for);
     [[nodiscard]] bool stale();
 
     std::shared_ptr<client_pool> pool_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    moving_deadline deadline_;
+    duration limit_{};
+    std::string_view waiting_for_;
     phase phase_ = phase::fresh;
     std::shared_ptr<client_exchange> exchange_;
     http_timeouts timeouts_;
@@ -232,19 +242,14 @@
     }
 }
 
-void client_connection::arm(duration limit, std::string what)
+void client_connection::set_limit(duration limit, std::string_view waiting_for)
 {
-    this->timer_.expires_after(limit);
-    this->timer_.async_wait(
-        [self = this->shared_from_this(), limit, what = std::move(what)](const error_code& ec) {
-            // A timer that was set again after it had expired still delivers its old success.
-            if (!ec && self->timer_.expiry() <= asio::steady_timer::clock_type::now()) {
-                self->timed_out(what, limit);
-            }
-        });
+    this->limit_ = limit;
+    this->waiting_for_ = waiting_for;
+    this->deadline_.set(limit, this->shared_from_this());
 }
 
-void client_connection::timed_out(const std::string& what, duration limit)
+void client_connection::timed_out()
 {
     if (this->phase_ != phase::connecting && this->phase_ != phase::exchanging) {
         return;
@@ -258,9 +263,10 @@
     for (const auto& connection : retired) {
         asio::post(connection->executor(), [connection] { connection->close(); });
     }
-    this->fail(error_kind::deadline_exceeded,
-               fmt::format("{} took longer than {} ms", what,
-                           std::chrono::duration_cast<std::chrono::milliseconds>(limit).count()));
+    this->fail(
+        error_kind::deadline_exceeded,
+        fmt::format("{} took longer than {} ms", this->waiting_for_,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(this->limit_).count()));
 }
 
 void client_connection::close()
@@ -271,7 +277,7 @@
     this->phase_ = phase::closed;
     error_code ec;
     this->socket_.close(ec);
-    this->timer_.cancel();
+    this->deadline_.close();
     const auto exchange = std::exchange(this->exchange_, nullptr);
     {
         const std::scoped_lock lock(this->pool_->mutex);
@@ -341,7 +347,7 @@
 void client_connection::connect()
 {
     this->phase_ = phase::connecting;
-    this->arm(this->timeouts_.connect, "connecting");
+    this->set_limit(this->timeouts_.connect, "connecting");
     this->socket_.async_connect(
         this->pool_->endpoint, [self = this->shared_from_this()](const error_code& ec) {
             if (self->phase_ != phase::connecting) {
@@ -363,7 +369,7 @@
     this->writing_ = true;
     this->write_failed_ = false;
     this->parser_.reset();
-    this->arm(this->timeouts_.write, "sending the request");
+    this->set_limit(this->timeouts_.write, "sending the request");
     asio::async_write(this->socket_, asio::buffer(this->outgoing_),
                       [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                           self->wrote(ec, n);
@@ -387,7 +393,7 @@
     // A server may refuse a request before it has read all of it, so its reply is still read.
     this->write_failed_ = static_cast<bool>(ec);
     if (!this->reading_) {
-        this->arm(this->timeouts_.first_byte, "waiting for the reply");
+        this->set_limit(this->timeouts_.first_byte, "waiting for the reply");
     }
 }
 
@@ -454,7 +460,7 @@
         this->read_head();
         return;
     }
-    this->arm(this->timeouts_.between_bytes, "waiting for the rest of the reply");
+    this->set_limit(this->timeouts_.between_bytes, "waiting for the rest of the reply");
     http_head head;
     head.status = message.result_int();
     for (const auto& field : message) {
@@ -498,7 +504,7 @@
         this->complete();
         return;
     }
-    this->arm(this->timeouts_.between_bytes, "waiting for the rest of the reply");
+    this->set_limit(this->timeouts_.between_bytes, "waiting for the rest of the reply");
     this->read_body();
 }
 
@@ -512,7 +518,7 @@
         exchange->end();
         return;
     }
-    this->timer_.cancel();
+    this->deadline_.clear();
     this->parser_.reset();
     this->reading_ = false;
     this->exchange_.reset();
@@ -581,7 +587,7 @@
     std::shared_ptr<http_exchange> send(const http_request& request, const http_timeouts& timeouts,
                                         http_events events)
     {
-        const auto exchange = std::make_shared<client_exchange>(std::move(events));
+        const auto exchange = std::make_shared<client_exchange>(std::move(events), this->gone_);
         if (has_line_break(request)) {
             asio::post(this->pool_->context, [exchange] {
                 exchange->failure({error_kind::invalid_argument,
@@ -605,6 +611,7 @@
 
     void close()
     {
+        *this->gone_ = true;
         std::unordered_set<std::shared_ptr<client_connection>> connections;
         {
             const std::scoped_lock lock(this->pool_->mutex);
@@ -620,6 +627,7 @@
 
 private:
     std::shared_ptr<client_pool> pool_;
+    std::shared_ptr<std::atomic<bool>> gone_ = std::make_shared<std::atomic<bool>>(false);
 };
 
 http_client::http_client(runtime& context, const std::string& address,
