--- a/Source/controllers/config_writer.cxx
+++ b/Source/controllers/config_writer.cxx
@@ -42,7 +42,8 @@
 {
 }
 
-void config_writer::submit(policy::config_change change, std::function<void(write_result)> done)
+void config_writer::submit(policy::config_change change,
+                           const std::function<void(write_result)>& done)
 {
     const auto shared = std::make_shared<const policy::config_change>(std::move(change));
     auto& store = this->store_;
--- a/Source/controllers/config_writer.h
+++ b/Source/controllers/config_writer.h
@@ -29,7 +29,7 @@
     /// Submits a change. A repeated operation id gets the outcome of the first one.
     /// @param change the change
     /// @param done called once with the result
-    void submit(policy::config_change change, std::function<void(write_result)> done);
+    void submit(policy::config_change change, const std::function<void(write_result)>& done);
 
 private:
     config_store& store_;
--- a/Source/controllers/handover_controller.cxx
+++ b/Source/controllers/handover_controller.cxx
@@ -71,7 +71,7 @@
         this->later(this->options_.check_interval, [](auto& self) { self.check(); });
     }
 
-    void submit(handover_record record, std::function<void(handover_result)> done)
+    void submit(handover_record record, const std::function<void(handover_result)>& done)
     {
         const auto shared = std::make_shared<const handover_record>(std::move(record));
         auto cancellation = *shared;
@@ -367,9 +367,9 @@
 }
 
 void handover_controller::submit(policy::handover_record record,
-                                 std::function<void(handover_result)> done)
+                                 const std::function<void(handover_result)>& done)
 {
-    this->impl_->submit(std::move(record), std::move(done));
+    this->impl_->submit(std::move(record), done);
 }
 
 std::optional<policy::work_item> handover_controller::find(const std::string& work_id) const
--- a/Source/controllers/handover_controller.h
+++ b/Source/controllers/handover_controller.h
@@ -80,7 +80,7 @@
     /// outcome of the first one.
     /// @param record the record
     /// @param done called once with the result
-    void submit(policy::handover_record record, std::function<void(handover_result)> done);
+    void submit(policy::handover_record record, const std::function<void(handover_result)>& done);
 
     /// @param work_id a piece of work
     /// @return its state; empty if it is not known
--- a/Tests/controllers/test_handover.cxx
+++ b/Tests/controllers/test_handover.cxx
@@ -115,6 +115,7 @@
 {
     fleet it(3);
     std::vector<std::shared_ptr<fakes::fake_response_stream>> offers;
+    offers.reserve(20);
     for (int n = 0; n < 20; ++n) {
         offers.push_back(it.send("POST", fmt::format("w{}/offer", n), "op-1"));
     }
