--- a/Source/controllers/handover_api.cxx
+++ b/Source/controllers/handover_api.cxx
@@ -182,7 +182,11 @@
             get_work(this->controller_, work_id, *response);
             return true;
         }
-        this->controller_.submit(parse_request(request, work_id, rest.substr(slash + 1)),
+        auto record = parse_request(request, work_id, rest.substr(slash + 1));
+        if (record.action == handover_action::offer) {
+            this->check_payload_(record.content);
+        }
+        this->controller_.submit(std::move(record),
                                  [work_id, response](const handover_result& result) {
                                      std::visit(result_writer{work_id, *response}, result);
                                  });
--- a/Source/controllers/handover_api.h
+++ b/Source/controllers/handover_api.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "controllers/handover_controller.h"
 #include "transport/http_server.h"
@@ -14,7 +17,12 @@
 class handover_api {
 public:
     /// @param controller moves the work; outlives this object and open requests
-    explicit handover_api(handover_controller& controller) : controller_(controller) {}
+    /// @param check_payload throws a typed error for a payload that cannot be run
+    handover_api(handover_controller& controller,
+                 std::function<void(const std::string&)> check_payload)
+        : controller_(controller), check_payload_(std::move(check_payload))
+    {
+    }
 
     /// Answers a request on the operator listener. Errors are answered as typed JSON.
     /// @param request the request
@@ -25,6 +33,7 @@
 
 private:
     handover_controller& controller_;
+    std::function<void(const std::string&)> check_payload_;
 };
 
 } // namespace medlaryoke::controllers
--- a/Tests/controllers/test_handover.cxx
+++ b/Tests/controllers/test_handover.cxx
@@ -10,6 +10,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
+#include "base/error.h"
 #include "controllers/handover_api.h"
 #include "controllers/handover_controller.h"
 #include "fakes/fake_log.h"
@@ -46,7 +47,12 @@
                 this->log, this->time.clock, name, std::move(ports)));
             this->controllers.back()->start();
         }
-        this->api = std::make_unique<handover_api>(*this->controllers.front());
+        this->api = std::make_unique<handover_api>(
+            *this->controllers.front(), [](const std::string& payload) {
+                if (payload == "{}") {
+                    throw error(error_kind::invalid_argument, "empty payload", "Send a payload.");
+                }
+            });
     }
 
     std::shared_ptr<fakes::fake_response_stream> send(const std::string& method,
@@ -255,6 +261,7 @@
     parse_reply(it.send("POST", "w/offer", "op-1", "{"), 400);
     parse_reply(it.send("POST", "w/offer", "op-1", "[]"), 400);
     parse_reply(it.send("POST", "w/offer", "op-1", "\"" + std::string(300'000, 'a') + "\""), 413);
+    parse_reply(it.send("POST", "w/offer", "op-1", "{}"), 400);
     parse_reply(it.send("POST", "w/start", "op-1"), 404);
     parse_reply(it.send("POST", "w%00/offer", "op-1"), 400);
     parse_reply(it.send("GET", "w/offer", "op-1"), 400);
