--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -1,11 +1,14 @@
 #include "commands/entry_process.h"
 
 #include <chrono>
+#include <functional>
+#include <map>
 #include <set>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "base/duration_text.h"
 #include "base/identifiers.h"
 #include "controllers/agent_upstream_link.h"
 #include "controllers/config_exchange.h"
@@ -17,6 +20,8 @@
 
 /// Bounds how late a deadline is noticed.
 constexpr duration tick_interval = std::chrono::milliseconds(50);
+/// Entries that come and go change the division of upstreams; this bounds how often.
+constexpr duration entry_update_interval = std::chrono::seconds(1);
 constexpr duration drain_poll_interval = std::chrono::milliseconds(50);
 
 std::int64_t unix_ms()
@@ -26,11 +31,20 @@
         .count();
 }
 
+controllers::delayed_call make_timer(transport::runtime& context)
+{
+    return [&context](duration delay, std::function<void()> fn) {
+        context.after(delay, std::move(fn));
+    };
+}
+
 } // namespace
 
 entry_process::entry_process(const model::entry_settings& settings)
     : settings_(settings), incarnation_(make_incarnation()), runtime_(settings.instance.threads),
       log_service_(runtime_, settings.platform.log, settings.platform.request_timeout),
+      config_feed_(log_service_, config_, make_timer(runtime_)),
+      config_writer_(log_service_, config_, clock_, make_timer(runtime_)),
       dispatcher_(clock_, {{}, settings.max_queue_items, random_bits()}, statistics_),
       directory_(settings.instance.instance, controllers::peer_silence_limit),
       links_({settings.instance.instance, settings.instance.data_centre, settings.subset_size},
@@ -38,10 +52,16 @@
              [this](const std::string& upstream, const model::upstream_spec& spec) {
                  return this->open_link(upstream, spec);
              }),
-      operator_status_([this] { return this->status(); }, statistics_)
+      operator_status_([this] { return this->status(); }, statistics_),
+      resource_api_(
+          config_, config_writer_, [this] { return this->confirmed_offset(); }, clock_,
+          make_timer(runtime_))
 {
     this->start_servers();
     this->config_.subscribe([this](const auto& config) { this->on_config(config); });
+    this->snapshot_writer_ = std::make_unique<controllers::snapshot_writer>(
+        this->log_service_, this->config_, this->clock_, make_timer(this->runtime_),
+        settings.instance.instance, [this] { return this->live_peers(); });
     if (!settings.platform.instance_list.empty()) {
         transport::instance_list_options options;
         options.address = settings.platform.instance_list;
@@ -56,11 +76,22 @@
 {
     this->runtime_.on_termination_signal([this] { this->begin_drain(); });
     this->tick_regularly();
+    this->update_entries_regularly();
+    this->config_feed_.start();
+    this->snapshot_writer_->start();
     this->runtime_.start();
     this->log_.info("Serving callers on {}, operators on {}, entries on {}, incarnation {:016x}.",
                     this->caller_server_->address(), this->operator_server_->address(),
                     this->peers_->address(), this->incarnation_);
     this->runtime_.wait(); // no callback runs while the parts go away
+    if (this->cut_off_ > 0) {
+        throw error(error_kind::unavailable,
+                    fmt::format("entry {} stopped after {} with {} requests that had not ended",
+                                this->settings_.instance.instance,
+                                format_duration(this->settings_.drain_timeout),
+                                this->cut_off_.load()),
+                    "Raise drain_timeout, or stop the callers of long requests first.");
+    }
     this->log_.info("Stopped.");
 }
 
@@ -159,7 +190,8 @@
 void entry_process::handle_operator(const transport::http_request& request,
                                     const std::shared_ptr<transport::response_stream>& response)
 {
-    if (!this->operator_status_.handle(request, *response)) {
+    if (!this->operator_status_.handle(request, *response) &&
+        !this->resource_api_.handle(request, response)) {
         response->respond(transport::make_error_response(
             error(error_kind::not_found, fmt::format("unknown path \"{}\"", request.target),
                   "Use /v1/resources, /v1/watch, /v1/status, /v1/samples, /metrics, /healthz or "
@@ -176,6 +208,7 @@
 void entry_process::on_instance_list(const std::vector<transport::listed_instance>& list)
 {
     std::vector<std::string> entries;
+    std::vector<policy::subset_member> staying_entries;
     std::set<std::string> leaving_entries;
     std::set<std::string> leaving_agents;
     for (const auto& it : list) {
@@ -189,6 +222,13 @@
         else if (it.leaving) {
             leaving_agents.insert(it.address);
         }
+        else if (is_entry) {
+            staying_entries.push_back({it.instance, it.data_centre});
+        }
+    }
+    {
+        const std::scoped_lock lock(this->listed_mutex_);
+        this->listed_entries_ = std::move(staying_entries);
     }
     this->directory_.set_leaving(std::move(leaving_entries));
     this->links_.set_leaving_agents(std::move(leaving_agents));
@@ -220,6 +260,23 @@
     return entries;
 }
 
+std::vector<std::string> entry_process::live_peers() const
+{
+    std::vector<std::string> names;
+    for (const auto& it : this->directory_.peers(this->clock_.now())) {
+        if (!it.failed && !it.state.draining()) {
+            names.push_back(it.state.instance());
+        }
+    }
+    return names;
+}
+
+std::uint64_t entry_process::confirmed_offset() const
+{
+    return this->directory_.lowest_confirmed(
+        this->clock_.now(), this->links_.lowest_confirmed(this->config_.view()->offset));
+}
+
 controllers::entry_status entry_process::status() const
 {
     const auto now = this->clock_.now();
@@ -230,6 +287,7 @@
     status.caller_address = this->caller_server_->address();
     status.draining = this->draining_;
     status.config_offset = this->config_.view()->offset;
+    status.log_available = this->config_feed_.is_log_available();
     status.config_since_unix_ms = this->config_since_unix_ms_;
     status.confirmed_offset =
         this->directory_.lowest_confirmed(now, this->links_.lowest_confirmed(status.config_offset));
@@ -250,6 +308,32 @@
     this->runtime_.after(tick_interval, [this] { this->tick_regularly(); });
 }
 
+void entry_process::update_entries_regularly()
+{
+    std::map<std::string, std::string> data_centres;
+    {
+        const std::scoped_lock lock(this->listed_mutex_);
+        for (const auto& it : this->listed_entries_) {
+            data_centres[it.name] = it.data_centre;
+        }
+    }
+    // What peers say themselves takes precedence over the list, which lags.
+    for (const auto& it : this->directory_.peers(this->clock_.now())) {
+        data_centres[it.state.instance()] = it.state.data_centre();
+        if (it.failed || it.state.draining()) {
+            data_centres.erase(it.state.instance());
+        }
+    }
+    data_centres[this->settings_.instance.instance] = this->settings_.instance.data_centre;
+    std::vector<policy::subset_member> entries;
+    entries.reserve(data_centres.size());
+    for (const auto& [name, data_centre] : data_centres) {
+        entries.push_back({name, data_centre});
+    }
+    this->links_.set_entries(std::move(entries));
+    this->runtime_.after(entry_update_interval, [this] { this->update_entries_regularly(); });
+}
+
 void entry_process::begin_drain()
 {
     this->log_.info("Shutting down: no new requests, {} running.",
@@ -270,9 +354,7 @@
     const auto requests = this->dispatcher_.open_requests();
     const bool idle = requests == 0 && this->caller_server_->open_connections() == 0;
     if (idle || this->clock_.now() >= limit) {
-        if (!idle) {
-            this->log_.warning("The drain timeout passed with {} requests running.", requests);
-        }
+        this->cut_off_ = requests;
         this->runtime_.stop();
         return;
     }
