--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -7,8 +7,12 @@
 
 #include "base/error.h"
 #include "commands/agent_command.h"
+#include "commands/apply_command.h"
+#include "commands/check_command.h"
 #include "commands/entry_command.h"
+#include "commands/get_command.h"
 #include "commands/status_command.h"
+#include "commands/watch_command.h"
 
 namespace medlaryoke::commands {
 
@@ -25,8 +29,12 @@
     app.set_version_flag("--version", "0.1.0");
     app.require_subcommand(0, 1);
     agent_command::add_to(app);
+    apply_command::add_to(app);
+    check_command::add_to(app);
     entry_command::add_to(app);
+    get_command::add_to(app);
     status_command::add_to(app);
+    watch_command::add_to(app);
     try {
         app.parse(argc, argv);
     }
