entry: Guard the link of a callback with a mutex

ThreadSanitizer reported a race between storing and loading the std::atomic<std::weak_ptr> of a new link.

--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -31,6 +31,27 @@
         .count();
 }
 
+/// A link for its own callbacks, which may be called before the link is known to its owner.
+/// std::atomic of a weak_ptr is not used: its load in libstdc++ 12 lets go with relaxed order.
+class link_holder {
+public:
+    void set(std::weak_ptr<controllers::agent_upstream_link> link)
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->link_ = std::move(link);
+    }
+
+    [[nodiscard]] std::shared_ptr<controllers::agent_upstream_link> get()
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->link_.lock();
+    }
+
+private:
+    std::mutex mutex_;
+    std::weak_ptr<controllers::agent_upstream_link> link_;
+};
+
 controllers::delayed_call make_timer(transport::runtime& context)
 {
     return [&context](duration delay, std::function<void()> fn) {
@@ -98,8 +119,7 @@
 std::shared_ptr<controllers::upstream_link>
 entry_process::open_link(const std::string& upstream, const model::upstream_spec& spec)
 {
-    using link = controllers::agent_upstream_link;
-    const auto holder = std::make_shared<std::atomic<std::weak_ptr<link>>>();
+    const auto holder = std::make_shared<link_holder>();
     controllers::agent_link_events events;
     events.on_load_changed = [this, target = spec.serves] { this->dispatcher_.on_room(target); };
     events.config_offset = [this] { return this->config_.view()->offset; };
@@ -108,18 +128,18 @@
     };
     events.on_config_frame = [this, holder](const wire::frame& frame) {
         auto answer = controllers::answer_config_frame(this->config_, frame);
-        const auto target = holder->load().lock();
+        const auto target = holder->get();
         if (answer && target != nullptr) {
             target->send_config(std::move(*answer));
         }
     };
     events.on_usage = [](const std::vector<wire::organisation_usage>&) {};
-    auto created = std::make_shared<link>(
+    auto created = std::make_shared<controllers::agent_upstream_link>(
         this->runtime_, this->clock_,
         controllers::agent_link_options{upstream, spec.agent, this->settings_.instance.instance,
                                         this->settings_.instance.data_centre, this->incarnation_},
         std::move(events));
-    holder->store(created);
+    holder->set(created);
     return created;
 }
 
--- a/Tests/Session/product_process.cxx
+++ b/Tests/Session/product_process.cxx
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -26,6 +27,13 @@
 constexpr auto poll_interval = 10ms;
 constexpr int signal_exit_code = 128;
 
+/// Another build of the product, such as a sanitized one, can be named in the environment.
+std::string binary()
+{
+    const auto* const other = std::getenv("MEDLARYOKE_TEST_BINARY");
+    return other == nullptr ? MEDLARYOKE_BINARY : other;
+}
+
 std::string make_directory()
 {
     auto pattern = (std::filesystem::temp_directory_path() / "medlaryoke-XXXXXX").string();
@@ -43,7 +51,7 @@
     const auto settings_file = this->directory_ + "/settings.yaml";
     const auto log_file = this->directory_ + "/log";
     std::ofstream(settings_file) << settings;
-    std::array<std::string, 4> words{MEDLARYOKE_BINARY, role, "--settings", settings_file};
+    std::array<std::string, 4> words{binary(), role, "--settings", settings_file};
     std::array<char*, 5> arguments{words[0].data(), words[1].data(), words[2].data(),
                                    words[3].data(), nullptr};
     this->pid_ = ::fork();
