--- a/Source/policy/map_switch.cxx
+++ b/Source/policy/map_switch.cxx
@@ -12,8 +12,9 @@
 } // namespace
 
 map_switch::map_switch(unsigned rank_count, const ballot& own, std::uint64_t target,
-                       duration timeout, time_point now)
-    : ranks_(rank_count), own_(own), target_(target), deadline_(now + timeout)
+                       duration timeout, time_point now, duration hold_timeout)
+    : ranks_(rank_count), own_(own), target_(target), deadline_(now + timeout),
+      hold_timeout_(hold_timeout)
 {
 }
 
@@ -52,7 +53,10 @@
     const bool undecided = this->phase_ == switch_phase::query ||
                            this->phase_ == switch_phase::prepare ||
                            this->phase_ == switch_phase::hold;
-    if (now < this->deadline_ || !undecided) {
+    if (this->phase_ == switch_phase::hold && this->hold_deadline_ == time_point::max()) {
+        this->hold_deadline_ = now + this->hold_timeout_;
+    }
+    if (now < std::min(this->deadline_, this->hold_deadline_) || !undecided) {
         return;
     }
     // Without all answers to the query another coordinator may already have decided a switch.
--- a/Source/policy/map_switch.h
+++ b/Source/policy/map_switch.h
@@ -38,8 +38,9 @@
     /// @param target version wanted; 0 only finishes or aborts what an earlier attempt left
     /// @param timeout longest time until the switch is decided or aborted
     /// @param now the current time
+    /// @param hold_timeout longest time that undecided ranks are held
     map_switch(unsigned rank_count, const ballot& own, std::uint64_t target, duration timeout,
-               time_point now);
+               time_point now, duration hold_timeout = std::chrono::seconds(1));
 
     /// Takes the status of one rank.
     /// @param rank position in the group
@@ -53,6 +54,13 @@
     /// @return the commands that are not yet confirmed; repeated until they are
     [[nodiscard]] std::vector<rank_command> commands() const;
 
+    /// @param rank position in the group
+    /// @return last status of the rank under the own ballot; a default one if there is none
+    [[nodiscard]] const rank_status& status(unsigned rank) const
+    {
+        return this->ranks_.at(rank).status;
+    }
+
     [[nodiscard]] switch_phase phase() const { return this->phase_; }
 
     /// @return the version that the group is brought to; 0 until all ranks have answered
@@ -81,6 +89,8 @@
     ballot own_;
     std::uint64_t target_;
     time_point deadline_;
+    duration hold_timeout_;
+    time_point hold_deadline_ = time_point::max();
     switch_phase phase_ = switch_phase::query;
     std::uint64_t version_ = 0;
     std::uint64_t step_ = 0;
