agent: End dispatches of closed links and test configuration and replay

Cause: a link that went away left its dispatches without an end, and the first request for configuration was held back on a machine that has just started. The exchange of configuration and the bound of the replay buffer had no test.

Change: closing a link ends its dispatches as unknown. The limits on configuration messages apply from the second one on.

--- a/Source/controllers/agent_link.cxx
+++ b/Source/controllers/agent_link.cxx
@@ -54,6 +54,7 @@
         const std::scoped_lock lock(this->timer_mutex_);
         this->stopped_ = true;
         this->timer_.cancel();
+        this->session_->close();
     }
 
     [[nodiscard]] agent_session& session() const { return *this->session_; }
--- a/Source/controllers/agent_link.h
+++ b/Source/controllers/agent_link.h
@@ -67,6 +67,8 @@
     agent_link& operator=(const agent_link&) = delete;
     agent_link(agent_link&&) = delete;
     agent_link& operator=(agent_link&&) = delete;
+
+    /// Ends the open dispatches as unknown; their events follow on a worker thread.
     ~agent_link();
 
     /// Hands a request to the agent. The id, session, incarnation and time left are filled in.
--- a/Source/controllers/agent_server.cxx
+++ b/Source/controllers/agent_server.cxx
@@ -36,6 +36,11 @@
     return instance;
 }
 
+bool is_due(const std::optional<time_point>& last, duration interval, time_point now)
+{
+    return !last || now - *last >= interval;
+}
+
 std::string content_type_of(const transport::http_head& head)
 {
     const auto value = transport::find_header(head.headers, "Content-Type");
@@ -394,13 +399,14 @@
     peer.config_offset = std::max(peer.config_offset, config_offset);
     const auto own = this->ports_.config_offset();
     const auto now = this->clock_.now();
-    if (config_offset > own && now - peer.config_requested >= config_request_interval) {
+    if (config_offset > own && is_due(peer.config_requested, config_request_interval, now)) {
         peer.config_requested = now;
         wire::frame frame;
         frame.mutable_config_request()->set_from_offset(own + 1);
         this->send(entry, std::move(frame));
     }
-    else if (may_send && config_offset < own && now - peer.config_sent >= config_send_interval) {
+    else if (may_send && config_offset < own &&
+             is_due(peer.config_sent, config_send_interval, now)) {
         peer.config_sent = now;
         wire::frame frame;
         *frame.mutable_config_records() = this->ports_.config_records_from(config_offset + 1);
--- a/Source/controllers/agent_server.h
+++ b/Source/controllers/agent_server.h
@@ -144,8 +144,8 @@
         time_point heard{};
         std::uint64_t received_dispatches = 0;
         std::uint64_t config_offset = 0;
-        time_point config_requested{};
-        time_point config_sent{};
+        std::optional<time_point> config_requested;
+        std::optional<time_point> config_sent;
     };
 
     void handle(const transport::connection_id& connection, const wire::frame& frame);
--- a/Source/controllers/agent_session.cxx
+++ b/Source/controllers/agent_session.cxx
@@ -163,6 +163,14 @@
     this->actions_.run();
 }
 
+void agent_session::close()
+{
+    const std::scoped_lock lock(this->mutex_);
+    this->view_.connected = false;
+    this->apply(this->tracker_.abandon("the link to the agent was closed"));
+    this->post_actions();
+}
+
 std::uint64_t agent_session::dispatch(wire::dispatch request, time_point deadline,
                                       dispatch_events events)
 {
@@ -376,11 +384,7 @@
 
 void agent_session::post_actions()
 {
-    this->ports_.post([self = this->weak_from_this()] {
-        if (const auto session = self.lock()) {
-            session->actions_.run();
-        }
-    });
+    this->ports_.post([self = this->shared_from_this()] { self->actions_.run(); });
 }
 
 } // namespace medlaryoke::controllers
--- a/Source/controllers/agent_session.h
+++ b/Source/controllers/agent_session.h
@@ -62,6 +62,9 @@
     /// heartbeat_interval.
     void tick();
 
+    /// Ends the open dispatches as unknown; the connection goes away after this.
+    void close();
+
     std::uint64_t dispatch(wire::dispatch request, time_point deadline, dispatch_events events);
     void cancel(std::uint64_t dispatch_id);
     void send_config(wire::frame frame);
--- a/Tests/controllers/test_agent_protocol.cxx
+++ b/Tests/controllers/test_agent_protocol.cxx
@@ -61,6 +61,25 @@
     cr_assert_str_eq(seen->end.c_str(), "finished");
 }
 
+// Guards against memory that grows with what silent entries did not fetch, and against an answer
+// with a hole where the buffer was cut.
+Test(agent_protocol, replay_buffer_is_bounded)
+{
+    agent_fleet fleet(1);
+    const auto seen = fleet.dispatch(0, "a");
+    fleet.settle();
+    fleet.silence(0);
+    for (int n = 0; n < 3; ++n) {
+        fleet.agents[0]->upstream.calls.at(0)->answer(std::string(600'000, 'x'), false);
+    }
+    cr_assert_leq(fleet.agents[0]->server->counts().replay_bytes, 1U << 20U);
+    fleet.advance(3s);
+    cr_assert_str_eq(seen->end.c_str(), "unknown");
+    cr_assert_eq(seen->data.size(), 0);
+    cr_assert(fleet.agents[0]->upstream.calls.at(0)->cancelled);
+    cr_assert_eq(fleet.agents[0]->server->counts().replay_bytes, 0);
+}
+
 // Guards against "not run" for a dispatch that an earlier incarnation may have run, and against
 // dispatches that stay open after a restart.
 Test(agent_protocol, restart_of_the_agent_leaves_the_outcome_unknown)
@@ -147,6 +166,47 @@
     cr_assert_eq(fleet.agents[0]->server->counts().load.running(), 0);
 }
 
+// Guards against a configuration that reaches the agents of an entry late or not at all (P7).
+Test(agent_protocol, the_newer_side_sends_its_configuration)
+{
+    agent_fleet fleet(1);
+    auto& agent = *fleet.agents[0];
+    const auto has_frame = [&](auto matches) {
+        const bool found = std::ranges::any_of(fleet.config_frames, matches);
+        fleet.config_frames.clear();
+        return found;
+    };
+    fleet.entry_config_offset = 5;
+    agent.config_offset = 2;
+    fleet.dispatch(0, "a");
+    fleet.settle();
+    cr_assert(
+        has_frame([](const wire::frame& it) { return it.config_request().from_offset() == 3; }),
+        "a dispatch must show the agent that it is behind");
+    wire::frame frame;
+    frame.mutable_config_records()->set_snapshot_offset(8);
+    fleet.session(0).send_config(frame);
+    fleet.settle();
+    cr_assert_eq(agent.config_offset, 8);
+    fleet.advance(1s);
+    cr_assert(
+        has_frame([](const wire::frame& it) { return it.config_records().from_offset() == 6; }),
+        "a heartbeat must show the agent that the entry is behind");
+    cr_assert_eq(fleet.session(0).view().config_offset, 8);
+    cr_assert_eq(fleet.session(0).view().confirmed_offset, 8);
+}
+
+// Guards against dispatches that never end because their link was closed.
+Test(agent_protocol, closing_a_link_ends_its_dispatches)
+{
+    agent_fleet fleet(1);
+    const auto seen = fleet.dispatch(0, "a");
+    fleet.settle();
+    fleet.session(0).close();
+    fleet.settle();
+    cr_assert_str_eq(seen->end.c_str(), "unknown");
+}
+
 // Guards against work for an entry that died, and against a wrong "not run" when it comes back.
 Test(agent_protocol, work_of_a_silent_entry_is_cancelled_after_the_grace_period)
 {
