policy: Keep a part of each upstream's slots for urgent work

Change: upstream_selector::room_left() tells whether only reserved slots (an eighth of each limit) are free; work_queue::pop() then serves urgent work and owed floors only, and request_features::may_use_reserve opens the reserve. measure_overload adds a queue at the agent that only absorbs collisions.

--- a/Source/policy/upstream_selector.cxx
+++ b/Source/policy/upstream_selector.cxx
@@ -17,9 +17,10 @@
     return candidate.reported_load + candidate.dispatched_since;
 }
 
-bool has_room(const upstream_candidate& candidate)
+bool has_room(const upstream_candidate& candidate, double reserve)
 {
-    return candidate.available && expected_load(candidate) < candidate.limit;
+    const auto kept = static_cast<unsigned>(reserve * candidate.limit);
+    return candidate.available && expected_load(candidate) + kept < candidate.limit;
 }
 
 /// @return id of the upstream that the second prefix selects by rendezvous hashing. The first one
@@ -90,6 +91,19 @@
     return chosen.index;
 }
 
+std::optional<room>
+upstream_selector::room_left(std::span<const upstream_candidate> candidates) const
+{
+    const auto any = [&](double reserve) {
+        return std::ranges::any_of(candidates,
+                                   [&](const auto& it) { return has_room(it, reserve); });
+    };
+    if (any(this->options_.reserve)) {
+        return room::ample;
+    }
+    return any(0) ? std::optional(room::scarce) : std::nullopt;
+}
+
 void upstream_selector::forget_prefix(std::uint64_t upstream, std::uint64_t prefix_hash)
 {
     this->index_.forget(upstream, prefix_hash, this->last_choice_);
@@ -105,12 +119,13 @@
                                 const request_features& request, time_point now) const
 {
     const auto typical = static_cast<double>(median_latency(candidates).count());
+    const auto reserve = request.may_use_reserve ? 0 : this->options_.reserve;
     const auto home = home_of(candidates, request);
     const auto prefixes = static_cast<double>(request.prefix_hashes.size());
     std::vector<option> open;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto& it = candidates[i];
-        if (!has_room(it)) {
+        if (!has_room(it, reserve)) {
             continue;
         }
         const auto depth = this->index_.depth(it.id, request.prefix_hashes, now);
--- a/Source/policy/upstream_selector.h
+++ b/Source/policy/upstream_selector.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "policy/prefix_index.h"
+#include "policy/room.h"
 
 namespace medlaryoke::policy {
 
@@ -28,6 +29,8 @@
     /// Hashes of ever longer prefixes of the prompt, shortest first; empty for plain services.
     std::vector<std::uint64_t> prefix_hashes;
     double cost = 1; ///< expected work, in tokens
+    /// Whether the last slots of an upstream may be taken: if room_left() said scarce.
+    bool may_use_reserve = true;
 };
 
 struct selector_options {
@@ -40,6 +43,10 @@
     /// Advantage of the upstream that a hash of the conversation selects, in whole prefills. All
     /// entries agree on it without messages, so turns meet their cache also when events are lost.
     double home_bonus = 0.8;
+    /// Part of each upstream's limit, rounded down, that is kept for urgent work. The others find a
+    /// slot free that is not yet known to be taken; a reserve counted over all upstreams made the
+    /// entries compete for the same few slots.
+    double reserve = 0.125;
 };
 
 /// Chooses the upstream for a request. Not thread safe.
@@ -59,6 +66,12 @@
     std::optional<std::size_t> choose(std::span<const upstream_candidate> candidates,
                                       const request_features& request, time_point now);
 
+    /// Tells how to pop the next request: with what is left, choose() finds an upstream for it.
+    /// @param candidates the upstreams of the group
+    /// @return scarce if only reserved slots are free, empty if there are none
+    [[nodiscard]] std::optional<room>
+    room_left(std::span<const upstream_candidate> candidates) const;
+
     /// Learns that an upstream dropped a cached prefix; may come late or never.
     /// @param upstream id of the upstream
     /// @param prefix_hash the prefix
--- a/Source/policy/work_queue.h
+++ b/Source/policy/work_queue.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/room.h"
 
 namespace medlaryoke::policy {
 
@@ -28,12 +29,6 @@
     duration first_token_target{};
 };
 
-/// How much room the upstreams have left.
-enum class room {
-    ample,
-    scarce, ///< the last free slots, kept for urgent work
-};
-
 struct work_queue_options {
     std::vector<priority_rule> priorities;
     std::size_t max_items = 10'000;
--- a/Tests/Measurements/measure_overload.cxx
+++ b/Tests/Measurements/measure_overload.cxx
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -40,9 +41,9 @@
 
 struct priority_setting {
     policy::priority_rule rule;
-    double mean_cost; ///< tokens
-    double timeout;   ///< seconds
-    double part;      ///< of the offered cost
+    double mean_cost = 0; ///< tokens
+    double timeout = 0;   ///< seconds
+    double part = 0;      ///< of the offered cost
 };
 
 const std::array<priority_setting, 3> priorities = {{
@@ -51,17 +52,22 @@
     {{2, 0.1, 1, seconds(30)}, 400, 300, 0.3},
 }};
 
-enum class placement { entry_only, agent_only, short_at_agent };
+enum class placement {
+    entry_only,
+    agent_only,
+    short_at_agent,
+    collisions, ///< short at the agent, but entries dispatch only into free slots they know of
+};
 enum class fault { none, errors, machine_lost };
 
 struct run_options {
-    placement queue = placement::entry_only;
+    placement queue = placement::collisions;
     bool adaptive = true;
     fault kind = fault::none;
     double load = 1;       ///< offered cost, times capacity
     double duration = 240; ///< seconds
     std::size_t short_queue = 2;
-    double reserve = 0; ///< part of the room that an entry keeps for urgent work
+    double reserve = 0.125; ///< part of the slots of each upstream kept for urgent work
     std::uint64_t seed = 1;
 };
 
@@ -136,7 +142,8 @@
             this->entries_.push_back(
                 {.queue = policy::work_queue({.priorities = rules(), .max_items = long_queue}),
                  .admission = policy::admission_control({.priorities = rules()}),
-                 .selector = policy::upstream_selector(options.seed * 10 + i),
+                 .selector =
+                     policy::upstream_selector(options.seed * 10 + i, {.reserve = options.reserve}),
                  .outliers = policy::outlier_detector(),
                  .retries = policy::retry_budget()});
             auto& entry = this->entries_.back();
@@ -211,6 +218,12 @@
 
     /// Room of an agent as an entry counts it, beyond the limit of its upstream.
     [[nodiscard]] unsigned extra_room() const
+    {
+        return this->options_.queue == placement::collisions ? 0 : this->agent_queue();
+    }
+
+    /// Length of the queue of an agent.
+    [[nodiscard]] unsigned agent_queue() const
     {
         switch (this->options_.queue) {
         case placement::entry_only:
@@ -222,6 +235,24 @@
         }
     }
 
+    /// Chooses an upstream; the last slots of each are kept for urgent work.
+    std::optional<std::size_t> choose(entry_state& entry, policy::room& left)
+    {
+        const auto now = this->time_.now();
+        auto candidates = entry.views;
+        for (auto& it : candidates) {
+            if (entry.outliers.try_probe(it.id, now)) {
+                return it.id;
+            }
+            it.dispatched_since = static_cast<unsigned>(entry.dispatches[it.id].size());
+            it.available = it.available && !entry.outliers.is_ejected(it.id);
+            it.limit += this->extra_room();
+        }
+        left = entry.selector.room_left(candidates).value_or(policy::room::scarce);
+        const policy::request_features features{.may_use_reserve = left == policy::room::scarce};
+        return entry.selector.choose(candidates, features, now);
+    }
+
     void dispatch(entry_state& entry)
     {
         const auto now = this->time_.now();
@@ -232,32 +263,12 @@
             if (entry.queue.size() == 0) {
                 return;
             }
-            auto candidates = entry.views;
-            bool probe = false;
-            unsigned total = 0;
-            unsigned taken = 0;
-            for (auto& it : candidates) {
-                it.limit += this->extra_room();
-                it.dispatched_since = static_cast<unsigned>(entry.dispatches[it.id].size());
-                it.available = it.available && !entry.outliers.is_ejected(it.id);
-                if (it.available) {
-                    total += it.limit;
-                    taken += std::min(it.limit, it.reported_load + it.dispatched_since);
-                }
-            }
-            auto chosen = entry.selector.choose(candidates, {}, now);
-            for (std::size_t i = 0; i < engine_count && !probe; ++i) {
-                if (entry.outliers.try_probe(i, now)) {
-                    chosen = i;
-                    probe = true;
-                }
-            }
+            auto left = policy::room::ample;
+            const auto chosen = this->choose(entry, left);
             if (!chosen) {
                 return;
             }
-            const bool scarce = total - taken <= this->options_.reserve * total;
-            const auto item =
-                entry.queue.pop(now, scarce ? policy::room::scarce : policy::room::ample);
+            const auto item = entry.queue.pop(now, left);
             if (!item) {
                 return;
             }
@@ -283,7 +294,7 @@
             this->hand_over(i, it);
             return;
         }
-        if (agent.queue.size() < this->extra_room()) {
+        if (agent.queue.size() < this->agent_queue()) {
             agent.queued[it->item.id] = it;
             for (const auto& refused : agent.queue.push(it->item, now)) {
                 agent.queued.erase(refused.id);
@@ -483,9 +494,9 @@
     fmt::print(
         "| queue | limit | load | goodput % | u | n | b in target % | retries % | refusals % "
         "|\n|---|---|---|---|---|---|---|---|---|\n");
-    const std::array names = {"entry", "agent", "short at agent"};
-    for (const auto queue :
-         {placement::entry_only, placement::agent_only, placement::short_at_agent}) {
+    const std::array names = {"entry", "agent", "short at agent", "collisions at agent"};
+    for (const auto queue : {placement::entry_only, placement::agent_only,
+                             placement::short_at_agent, placement::collisions}) {
         for (const bool adaptive : {false, true}) {
             for (const double load : {1.0, 1.5, 2.0, 3.0}) {
                 options.queue = queue;
@@ -547,7 +558,8 @@
     app.add_option("--duration", options.duration,
                    "virtual seconds; the first quarter is not counted");
     app.add_option("--short-queue", options.short_queue, "length of the short queue at an agent");
-    app.add_option("--reserve", options.reserve, "part of the room kept for urgent work");
+    app.add_option("--reserve", options.reserve,
+                   "part of the slots of each upstream kept for urgent work");
     app.add_flag("--smoke", smoke, "short run");
     CLI11_PARSE(app, argc, argv);
     if (smoke) {
--- a/Tests/policy/test_upstream_selector.cxx
+++ b/Tests/policy/test_upstream_selector.cxx
@@ -8,6 +8,7 @@
 
 using medlaryoke::time_point;
 using medlaryoke::policy::request_features;
+using medlaryoke::policy::room;
 using medlaryoke::policy::upstream_candidate;
 using medlaryoke::policy::upstream_selector;
 using namespace std::chrono_literals;
@@ -28,6 +29,29 @@
     }
 }
 
+// Guards against less urgent work taking the last slots, and against a small limit being all
+// reserve.
+Test(upstream_selector, keeps_the_last_slots_for_urgent_work)
+{
+    const upstream_selector checker(1, {.reserve = 0.25});
+    upstream_selector selector(1, {.reserve = 0.25});
+    std::vector<upstream_candidate> candidates = {{.id = 1, .reported_load = 5, .limit = 8},
+                                                  {.id = 2, .reported_load = 6, .limit = 8}};
+    const request_features batch{.may_use_reserve = false};
+    cr_assert(checker.room_left(candidates).value_or(room::scarce) == room::ample);
+    for (int i = 0; i < 50; ++i) {
+        cr_assert(selector.choose(candidates, batch, time_point{}).value_or(9) == 0);
+    }
+    candidates[0].dispatched_since = 1;
+    cr_assert(checker.room_left(candidates).value_or(room::ample) == room::scarce);
+    cr_assert(!selector.choose(candidates, batch, time_point{}).has_value());
+    cr_assert(selector.choose(candidates, {}, time_point{}).has_value());
+    candidates[0].reported_load = candidates[1].reported_load = 8;
+    cr_assert(!checker.room_left(candidates).has_value());
+    const std::vector<upstream_candidate> small = {{.id = 1, .limit = 1}};
+    cr_assert(checker.room_left(small).value_or(room::scarce) == room::ample);
+}
+
 // Guards against entries with the same report all sending to the one upstream it shows as best.
 Test(upstream_selector, does_not_herd_on_the_least_loaded)
 {
