--- a/Source/policy/outlier_detector.h
+++ b/Source/policy/outlier_detector.h
@@ -21,7 +21,7 @@
     duration window = std::chrono::seconds(10);
     duration first_ejection = std::chrono::seconds(1);
     /// Ejections double up to this, so that a repaired upstream is back well within 10 s.
-    duration longest_ejection = std::chrono::seconds(4);
+    duration longest_ejection = std::chrono::seconds(2);
     unsigned probes = 2; ///< successful requests, one at a time, that end an ejection
 };
 
--- a/Source/policy/upstream_selector.h
+++ b/Source/policy/upstream_selector.h
@@ -27,14 +27,14 @@
 /// What matters of a request when choosing.
 struct request_features {
     /// Hashes of ever longer prefixes of the prompt, shortest first; empty for plain services.
-    std::vector<std::uint64_t> prefix_hashes;
+    std::vector<std::uint64_t> prefix_hashes{};
     double cost = 1; ///< expected work, in tokens
     /// Whether the last slots of an upstream may be taken: if room_left() said scarce.
     bool may_use_reserve = true;
 };
 
 struct selector_options {
-    prefix_index_options prefixes;
+    prefix_index_options prefixes{};
     /// Latency above the median by this factor makes an upstream a straggler.
     double straggler_factor = 1.5;
     /// Upstreams whose score is this close to the best are chosen from at random, so that entries
