handover: Run the handover in entries

Entries read the stream handover from their first configuration on, serve /v1/handover on the operator listener and run offered work. A draining entry starts no more work and stops when what it runs has ended; it stays the runner of its work until then.

handover_work takes the place of work_item, which is a type of the work queue.

--- a/Source/commands/entry_process.cxx
+++ b/Source/commands/entry_process.cxx
@@ -55,7 +55,10 @@
       operator_status_([this] { return this->status(); }, statistics_),
       resource_api_(
           config_, config_writer_, [this] { return this->confirmed_offset(); }, clock_,
-          make_timer(runtime_))
+          make_timer(runtime_)),
+      handover_(log_service_, clock_, config_, dispatcher_,
+                make_runner_name(settings.instance.instance, incarnation_),
+                {make_timer(runtime_), [this] { return this->live_runners(); }})
 {
     this->start_servers();
     this->config_.subscribe([this](const auto& config) { this->on_config(config); });
@@ -191,11 +194,12 @@
                                     const std::shared_ptr<transport::response_stream>& response)
 {
     if (!this->operator_status_.handle(request, *response) &&
-        !this->resource_api_.handle(request, response)) {
+        !this->resource_api_.handle(request, response) &&
+        !this->handover_.handle(request, response)) {
         response->respond(transport::make_error_response(
             error(error_kind::not_found, fmt::format("unknown path \"{}\"", request.target),
-                  "Use /v1/resources, /v1/watch, /v1/status, /v1/samples, /metrics, /healthz or "
-                  "/readyz.")));
+                  "Use /v1/resources, /v1/watch, /v1/handover, /v1/status, /v1/samples, /metrics, "
+                  "/healthz or /readyz.")));
     }
 }
 
@@ -203,6 +207,7 @@
 {
     this->config_since_unix_ms_ = unix_ms();
     this->links_.apply(config);
+    this->handover_.start(); // before the first configuration no work could be run
 }
 
 void entry_process::on_instance_list(const std::vector<transport::listed_instance>& list)
@@ -271,6 +276,18 @@
     return names;
 }
 
+std::vector<controllers::live_runner> entry_process::live_runners() const
+{
+    std::vector<controllers::live_runner> runners;
+    for (const auto& it : this->directory_.peers(this->clock_.now())) {
+        if (!it.failed) {
+            runners.push_back({make_runner_name(it.state.instance(), it.state.incarnation()),
+                               it.state.draining()});
+        }
+    }
+    return runners;
+}
+
 std::uint64_t entry_process::confirmed_offset() const
 {
     return this->directory_.lowest_confirmed(
@@ -339,6 +356,7 @@
     this->log_.info("Shutting down: no new requests, {} running.",
                     this->dispatcher_.open_requests());
     this->draining_ = true;
+    this->handover_.drain();
     this->peers_->announce();
     const auto limit = this->clock_.now() + this->settings_.drain_timeout;
     // Callers may use a cached address until its lifetime ends; they get a reply that says that
@@ -352,7 +370,8 @@
 void entry_process::stop_when_idle(time_point limit)
 {
     const auto requests = this->dispatcher_.open_requests();
-    const bool idle = requests == 0 && this->caller_server_->open_connections() == 0;
+    const bool idle = requests == 0 && this->handover_.busy() == 0 &&
+                      this->caller_server_->open_connections() == 0;
     if (idle || this->clock_.now() >= limit) {
         this->cut_off_ = requests;
         this->runtime_.stop();
--- a/Source/commands/entry_process.h
+++ b/Source/commands/entry_process.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/logging.h"
+#include "commands/entry_handover.h"
 #include "controllers/config_feed.h"
 #include "controllers/config_store.h"
 #include "controllers/config_writer.h"
@@ -61,6 +62,7 @@
     [[nodiscard]] wire::peer_state own_state() const;
     [[nodiscard]] std::vector<controllers::entry_address> entries() const;
     [[nodiscard]] std::vector<std::string> live_peers() const;
+    [[nodiscard]] std::vector<controllers::live_runner> live_runners() const;
     [[nodiscard]] std::uint64_t confirmed_offset() const;
     [[nodiscard]] controllers::entry_status status() const;
     void tick_regularly();
@@ -88,6 +90,7 @@
     controllers::upstream_links links_;
     controllers::operator_status operator_status_;
     controllers::resource_api resource_api_;
+    entry_handover handover_;
     std::unique_ptr<controllers::peer_network> peers_;
     std::unique_ptr<filters::caller_api> caller_api_;
     std::unique_ptr<transport::http_server> caller_server_;
--- a/Source/controllers/handover_controller.cxx
+++ b/Source/controllers/handover_controller.cxx
@@ -20,7 +20,7 @@
 
 using policy::handover_action;
 using policy::handover_record;
-using policy::work_item;
+using policy::handover_work;
 using policy::work_owner;
 using policy::work_state;
 
@@ -100,17 +100,25 @@
         this->writer_.submit(std::move(operation));
     }
 
-    std::optional<work_item> find(const std::string& work_id) const
+    std::optional<handover_work> find(const std::string& work_id) const
     {
         const std::scoped_lock lock(this->mutex_);
         const auto* item = this->ledger_.find(work_id);
         return item == nullptr ? std::nullopt : std::optional(*item);
     }
 
+    std::size_t busy() const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->busy_.size();
+    }
+
     std::atomic<bool> stopped = false;
+    std::atomic<bool> started = false;
+    std::atomic<bool> draining = false;
 
 private:
-    using due_list = std::vector<std::pair<std::string, work_item>>;
+    using due_list = std::vector<std::pair<std::string, handover_work>>;
 
     std::uint64_t offset() const
     {
@@ -181,8 +189,11 @@
     /// Marks the work that this entry takes now as busy.
     due_list find_due_work()
     {
+        if (this->draining) {
+            return {};
+        }
         auto live = this->ports_.live_runners();
-        live.push_back(this->runner_);
+        live.push_back({this->runner_, false});
         const auto now = this->clock_.now();
         const std::scoped_lock lock(this->mutex_);
         due_list due;
@@ -201,14 +212,14 @@
         return due;
     }
 
-    bool is_due(const std::string& id, const work_item& item, const std::vector<std::string>& live,
-                time_point now)
+    bool is_due(const std::string& id, const handover_work& item,
+                const std::vector<live_runner>& live, time_point now)
     {
         if (item.state == work_state::started) {
             if (item.runner == this->runner_) {
                 return true;
             }
-            if (std::ranges::find(live, item.runner) != live.end()) {
+            if (std::ranges::find(live, item.runner, &live_runner::name) != live.end()) {
                 this->lost_since_.erase(id);
                 return false;
             }
@@ -217,12 +228,14 @@
                 return false;
             }
         }
-        const auto weight = [&id](const std::string& name) { return hash64(id + "/" + name); };
-        return std::ranges::max(live, {}, weight) == this->runner_;
+        const auto weight = [&id](const live_runner& it) {
+            return it.draining ? 0 : hash64(id + "/" + it.name);
+        };
+        return std::ranges::max(live, {}, weight).name == this->runner_;
     }
 
     /// Starts the work, or goes on with it if this entry has started it already.
-    void take(const std::string& id, const work_item& item)
+    void take(const std::string& id, const handover_work& item)
     {
         if (item.state == work_state::started && item.runner == this->runner_) {
             this->execute(id);
@@ -266,19 +279,19 @@
             });
     }
 
-    void on_executed(const std::string& id, const work_item& item, const work_done& result)
+    void on_executed(const std::string& id, const handover_work& item, const work_done& result)
     {
         this->close(id, item, handover_action::complete, result.result);
     }
 
-    void on_executed(const std::string& id, const work_item& item, const work_unknown& result)
+    void on_executed(const std::string& id, const handover_work& item, const work_unknown& result)
     {
         const nlohmann::json content{{"outcome", "unknown"}, {"reason", result.reason}};
         this->close(id, item, handover_action::complete,
                     content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
     }
 
-    void on_executed(const std::string& id, const work_item& item, const work_not_run& result)
+    void on_executed(const std::string& id, const handover_work& item, const work_not_run& result)
     {
         this->messages_.info("work {} was not run: {}", id, result.reason);
         if (item.starts == 1) {
@@ -290,7 +303,7 @@
     }
 
     /// Appends the end of the work until the log has taken it.
-    void close(const std::string& id, const work_item& item, handover_action action,
+    void close(const std::string& id, const handover_work& item, handover_action action,
                const std::string& content)
     {
         this->submit({.operation_id = make_unique_id("close"),
@@ -362,8 +375,20 @@
 
 void handover_controller::start()
 {
-    this->impl_->read();
-    this->impl_->check();
+    if (!this->impl_->started.exchange(true)) {
+        this->impl_->read();
+        this->impl_->check();
+    }
+}
+
+void handover_controller::drain()
+{
+    this->impl_->draining = true;
+}
+
+std::size_t handover_controller::busy() const
+{
+    return this->impl_->busy();
 }
 
 void handover_controller::submit(policy::handover_record record,
@@ -372,7 +397,7 @@
     this->impl_->submit(std::move(record), done);
 }
 
-std::optional<policy::work_item> handover_controller::find(const std::string& work_id) const
+std::optional<policy::handover_work> handover_controller::find(const std::string& work_id) const
 {
     return this->impl_->find(work_id);
 }
--- a/Source/controllers/handover_controller.h
+++ b/Source/controllers/handover_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -35,10 +36,15 @@
 using handover_result =
     std::variant<policy::handover_accepted, policy::handover_refused, write_refused, write_unknown>;
 
+/// A live entry.
+struct live_runner {
+    std::string name;      ///< with its incarnation
+    bool draining = false; ///< starts no more work, but ends what it runs
+};
+
 struct handover_ports {
     delayed_call after;
-    /// Identities of the live entries, with their incarnations; this one may be left out.
-    std::function<std::vector<std::string>()> live_runners;
+    std::function<std::vector<live_runner>()> live_runners; ///< the other live entries
     /// Runs work with its id as the idempotency key, so that a second run gets the first answer.
     std::function<void(const std::string& work_id, const std::string& payload,
                        std::function<void(work_result)> done)>
@@ -73,9 +79,15 @@
     /// Stops reading and starts no more work.
     ~handover_controller();
 
-    /// Starts reading the stream and running work.
+    /// Starts reading the stream and running work; later calls do nothing.
     void start();
 
+    /// Starts no more work; what runs goes on.
+    void drain();
+
+    /// @return pieces of work that this entry starts, runs or ends
+    [[nodiscard]] std::size_t busy() const;
+
     /// Appends a record and answers after reading it back. A repeated operation id gets the
     /// outcome of the first one.
     /// @param record the record
@@ -84,7 +96,7 @@
 
     /// @param work_id a piece of work
     /// @return its state; empty if it is not known
-    [[nodiscard]] std::optional<policy::work_item> find(const std::string& work_id) const;
+    [[nodiscard]] std::optional<policy::handover_work> find(const std::string& work_id) const;
 
     class implementation;
 
--- a/Source/policy/handover_ledger.cxx
+++ b/Source/policy/handover_ledger.cxx
@@ -20,8 +20,8 @@
 constexpr std::array<std::string_view, 4> state_names{"with_old", "offered", "started",
                                                       "completed"};
 
-work_item make_completed(const work_item& before, std::uint64_t offset,
-                         const handover_record& record)
+handover_work make_completed(const handover_work& before, std::uint64_t offset,
+                             const handover_record& record)
 {
     auto after = before;
     after.state = work_state::completed;
@@ -96,8 +96,9 @@
     }
 }
 
-std::optional<work_item> handover_ledger::apply(const work_item& before, std::uint64_t offset,
-                                                const handover_record& record)
+std::optional<handover_work> handover_ledger::apply(const handover_work& before,
+                                                    std::uint64_t offset,
+                                                    const handover_record& record)
 {
     auto after = before;
     after.version = offset;
@@ -107,13 +108,13 @@
         if (before.state != work_state::with_old || record.by != work_owner::old_router) {
             return std::nullopt;
         }
-        return work_item{
+        return handover_work{
             work_owner::new_router, work_state::offered, offset, record.content, "", 0, 0};
     case handover_action::withdraw:
         if (before.state != work_state::offered || record.by != work_owner::old_router) {
             return std::nullopt;
         }
-        return work_item{work_owner::old_router, work_state::with_old, offset, "", "", 0, 0};
+        return handover_work{work_owner::old_router, work_state::with_old, offset, "", "", 0, 0};
     case handover_action::start:
         if (!by_owner || record.runner.empty() ||
             (before.state != work_state::offered && before.state != work_state::started) ||
@@ -133,7 +134,7 @@
         if (!by_owner || !not_run) {
             return std::nullopt;
         }
-        return work_item{work_owner::old_router, work_state::with_old, offset, "", "", 0, 0};
+        return handover_work{work_owner::old_router, work_state::with_old, offset, "", "", 0, 0};
     }
     case handover_action::complete: {
         const bool may_have_run =
@@ -165,7 +166,7 @@
         return;
     }
     const auto it = this->work_.find(record->work_id);
-    const auto before = it == this->work_.end() ? work_item{} : it->second;
+    const auto before = it == this->work_.end() ? handover_work{} : it->second;
     const auto after = apply(before, offset, *record);
     if (!after) {
         this->remember(record->operation_id,
@@ -201,7 +202,7 @@
 handover_outcome handover_ledger::evaluate(const handover_record& record) const
 {
     const auto* known = this->find(record.work_id);
-    const auto before = known == nullptr ? work_item{} : *known;
+    const auto before = known == nullptr ? handover_work{} : *known;
     const auto after = apply(before, this->offset_ + 1, record);
     if (!after) {
         return handover_refused{before.owner, before.state, before.version};
@@ -215,7 +216,7 @@
     return it == this->operations_.end() ? nullptr : &it->second;
 }
 
-const work_item* handover_ledger::find(const std::string& work_id) const
+const handover_work* handover_ledger::find(const std::string& work_id) const
 {
     const auto it = this->work_.find(work_id);
     return it == this->work_.end() ? nullptr : &it->second;
--- a/Source/policy/handover_ledger.h
+++ b/Source/policy/handover_ledger.h
@@ -64,7 +64,7 @@
 std::string_view to_string(work_state state);
 
 /// One piece of work.
-struct work_item {
+struct handover_work {
     work_owner owner = work_owner::old_router;
     work_state state = work_state::with_old;
     std::uint64_t version = 0; ///< offset of the record that set the state
@@ -73,7 +73,7 @@
     std::uint64_t started_at = 0; ///< offset of the valid start
     unsigned starts = 0;          ///< valid starts since the offer
 
-    bool operator==(const work_item&) const = default;
+    bool operator==(const handover_work&) const = default;
 };
 
 struct handover_accepted {
@@ -128,19 +128,19 @@
     [[nodiscard]] const handover_outcome* outcome_of(const std::string& operation_id) const;
 
     /// @return a piece of work; null if it is not known
-    [[nodiscard]] const work_item* find(const std::string& work_id) const;
+    [[nodiscard]] const handover_work* find(const std::string& work_id) const;
 
     /// @return ids, in order, of the work that the new router owns and has not completed
     [[nodiscard]] std::vector<std::string> open_work() const;
 
 private:
-    [[nodiscard]] static std::optional<work_item>
-    apply(const work_item& before, std::uint64_t offset, const handover_record& record);
+    [[nodiscard]] static std::optional<handover_work>
+    apply(const handover_work& before, std::uint64_t offset, const handover_record& record);
     void forget_old_work(const std::string& work_id, std::uint64_t version);
     void remember(const std::string& operation_id, const handover_outcome& outcome);
 
     std::uint64_t offset_ = 0;
-    std::map<std::string, work_item> work_;
+    std::map<std::string, handover_work> work_;
     std::deque<std::pair<std::string, std::uint64_t>> closed_order_; ///< work and version
     std::map<std::string, handover_outcome> operations_;
     std::deque<std::string> operation_order_;
--- a/Tests/controllers/test_handover.cxx
+++ b/Tests/controllers/test_handover.cxx
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <random>
@@ -35,7 +36,7 @@
     {
         for (unsigned n = 0; n < count; ++n) {
             this->names.push_back(fmt::format("entry-{}", n));
-            this->live.push_back(this->names.back());
+            this->live.push_back({this->names.back()});
         }
         for (const auto& name : this->names) {
             handover_ports ports{time.timer(), [this] { return this->live; },
@@ -69,15 +70,20 @@
         return response;
     }
 
+    void lose(const std::string& name)
+    {
+        std::erase_if(this->live, [&name](const live_runner& it) { return it.name == name; });
+    }
+
     [[nodiscard]] work_state state_of(const std::string& id) const
     {
-        return this->controllers.back()->find(id).value_or(policy::work_item{}).state;
+        return this->controllers.back()->find(id).value_or(policy::handover_work{}).state;
     }
 
     fakes::hand_driven_time time;
     fakes::fake_log log{time};
     std::vector<std::string> names;
-    std::vector<std::string> live;
+    std::vector<live_runner> live;
     std::vector<std::unique_ptr<handover_controller>> controllers;
     std::unique_ptr<handover_api> api;
     duration run_time = 50ms;
@@ -145,7 +151,7 @@
     it.send("POST", "w/offer", "op-1");
     it.time.run_for(1s);
     cr_assert(it.runners.size() == 1);
-    std::erase(it.live, it.runners.front());
+    it.lose(it.runners.front());
     it.hold = false;
     it.time.run_for(3s);
     cr_assert(it.runners.size() == 1, "the takeover must wait");
@@ -153,13 +159,34 @@
     cr_assert(it.runners.size() == 2 && it.runners[0] != it.runners[1]);
     cr_assert(it.ran.contains("w") && it.state_of("w") == work_state::completed);
     const auto version = parse_reply(it.send("GET", "w"), 200).at("version");
-    it.live.push_back(it.runners.front());
+    it.live.push_back({it.runners.front()});
     it.held.front()(work_done{"{\"answer\":43}"});
     it.time.run_for(5s);
     cr_assert(parse_reply(it.send("GET", "w"), 200).at("version") == version);
     cr_assert(it.runners.size() == 2);
 }
 
+// Guards against a shutdown that starts work, cuts off what runs, or leaves offered work waiting.
+Test(handover, draining_entry_ends_its_work_and_starts_none)
+{
+    fleet it(2);
+    it.run_time = 10s;
+    it.send("POST", "w0/offer", "op-1");
+    it.time.run_for(1s);
+    const auto drained = it.runners.front();
+    const auto index = drained == it.names[0] ? 0U : 1U;
+    it.controllers[index]->drain();
+    it.live[index].draining = true;
+    for (int n = 1; n < 9; ++n) {
+        it.send("POST", fmt::format("w{}/offer", n), "op-1");
+    }
+    it.time.run_for(3s);
+    cr_assert(it.controllers[index]->busy() == 1);
+    it.time.run_for(30s);
+    cr_assert(it.controllers[index]->busy() == 0 && it.runners.size() == 9);
+    cr_assert(std::ranges::count(it.runners, drained) == 1);
+}
+
 // Guards against work that the old router takes back while this system runs it.
 Test(handover, withdrawn_work_is_never_run)
 {
@@ -240,7 +267,7 @@
     it.hold = true;
     it.send("POST", "w/offer", "op-2");
     it.time.run_for(2s);
-    std::erase(it.live, it.runners.back());
+    it.lose(it.runners.back());
     it.hold = false;
     it.not_run = true;
     it.time.run_for(20s);
