--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -142,12 +142,12 @@
         const auto upstreams = this->upstreams_;
         const bool idle = this->queue_.size() == 0;
         lock.unlock();
-        auto candidates = idle ? candidate_list{} : make_candidates(*upstreams);
+        const auto candidates = idle ? candidate_list{} : make_candidates(*upstreams);
         lock.lock();
         if (this->upstreams_ != upstreams) {
             continue;
         }
-        const auto next = this->take_next(*upstreams, std::move(candidates), now());
+        const auto next = this->take_next(*upstreams, candidates, now());
         if (!next && !this->dispatch_again_) {
             this->dispatching_ = false;
             return;
@@ -160,8 +160,8 @@
 }
 
 std::optional<target_queue::assignment>
-target_queue::take_next(const std::vector<dispatch_target>& upstreams, candidate_list candidates,
-                        time_point now)
+target_queue::take_next(const std::vector<dispatch_target>& upstreams,
+                        const candidate_list& candidates, time_point now)
 {
     auto in_rotation = candidates;
     this->mark_ejected(in_rotation);
--- a/Source/controllers/target_queue.h
+++ b/Source/controllers/target_queue.h
@@ -101,7 +101,7 @@
     std::optional<std::size_t> choose_probe(const pending_request& request,
                                             const candidate_list& candidates, time_point now);
     std::optional<assignment> take_next(const std::vector<dispatch_target>& upstreams,
-                                        candidate_list candidates, time_point now);
+                                        const candidate_list& candidates, time_point now);
     std::size_t choose(const pending_request& request,
                        const std::vector<dispatch_target>& upstreams, candidate_list candidates,
                        time_point now);
--- a/Tests/Session/test_session.cxx
+++ b/Tests/Session/test_session.cxx
@@ -152,7 +152,7 @@
     site.configure();
     const auto& entry = site.entries()[0];
     for (const auto& bytes :
-         {std::string("\0\xff\x16\x03\x01 garbage\r\n\r\n", 20),
+         {std::string("\0\xff\x16\x03\x01 garbage\r\n\r\n", 17),
           std::string("GET / HTTP/9.9\r\n\r\n"),
           "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n",
           std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"),
