agent: Use the queue and the limit of the policy library always

Cause: agent_admission had a first-in first-out queue and a fixed limit for builds without the policy classes, which exist now. Change: the second implementation is gone.

--- a/Source/controllers/agent_admission.cxx
+++ b/Source/controllers/agent_admission.cxx
@@ -4,108 +4,17 @@
 #include <iterator>
 #include <utility>
 
-// Builds without the policies' implementation use a first-in, first-out queue and a fixed limit.
-#if __has_include("policy/concurrency_limit.h")
 #include "policy/concurrency_limit.h"
-#else
-#include <list>
-#endif
 
 namespace medlaryoke::controllers {
 
 namespace {
 
-#if __has_include("policy/concurrency_limit.h")
-
 using policy::call_outcome;
 using policy::concurrency_limit;
 using policy::concurrency_limit_options;
 using policy::work_queue;
 
-#else
-
-enum class call_outcome { succeeded, refused, failed, abandoned };
-
-struct concurrency_limit_options {
-    unsigned initial = 16;
-    unsigned maximum = 256;
-};
-
-class concurrency_limit {
-public:
-    explicit concurrency_limit(concurrency_limit_options options) : options_(options) {}
-
-    bool try_acquire()
-    {
-        if (this->in_flight_ >= this->options_.initial) {
-            return false;
-        }
-        ++this->in_flight_;
-        return true;
-    }
-
-    void release(duration, call_outcome) { --this->in_flight_; }
-    [[nodiscard]] unsigned limit() const { return this->options_.initial; }
-    [[nodiscard]] unsigned in_flight() const { return this->in_flight_; }
-
-private:
-    concurrency_limit_options options_;
-    unsigned in_flight_ = 0;
-};
-
-class work_queue {
-public:
-    explicit work_queue(const policy::work_queue_options& options) : max_items_(options.max_items)
-    {
-    }
-
-    std::vector<policy::work_item> push(policy::work_item item, time_point)
-    {
-        if (this->items_.size() >= this->max_items_) {
-            return {std::move(item)};
-        }
-        this->items_.push_back(std::move(item));
-        return {};
-    }
-
-    std::optional<policy::work_item> pop(time_point)
-    {
-        if (this->items_.empty()) {
-            return std::nullopt;
-        }
-        auto item = std::move(this->items_.front());
-        this->items_.pop_front();
-        return item;
-    }
-
-    std::vector<policy::work_item> expire(time_point now)
-    {
-        std::vector<policy::work_item> removed;
-        std::erase_if(this->items_, [&](const auto& item) {
-            if (item.deadline > now) {
-                return false;
-            }
-            removed.push_back(item);
-            return true;
-        });
-        return removed;
-    }
-
-    bool remove(std::uint64_t id)
-    {
-        return std::erase_if(this->items_, [&](const auto& item) { return item.id == id; }) > 0;
-    }
-
-    void set_priorities(const std::vector<policy::priority_rule>&) {}
-    [[nodiscard]] std::size_t size() const { return this->items_.size(); }
-
-private:
-    std::size_t max_items_;
-    std::list<policy::work_item> items_;
-};
-
-#endif
-
 call_outcome to_call_outcome(slot_outcome outcome)
 {
     switch (outcome) {
