group: Run lock-step groups in the agents, proved with real processes

Cause: the coordinator of a group was not part of the agent process, and a rank that restarted while the log was down stopped its group for the outage, because nobody could hold the lease. Change: group_member joins an agent to its group as the configuration says; http_rank_engine speaks to the engine of a rank; a group without steps and without a holder of its lease is repaired by any agent under a higher ballot. rank_group_standin stands for the platform's group and counts steps begun on two maps.

--- a/Source/commands/agent_process.cxx
+++ b/Source/commands/agent_process.cxx
@@ -70,14 +70,25 @@
                            .engine = settings.upstream_type == "engine"}),
       server_(std::make_shared<controllers::agent_server>(
           clock_, make_server_options(settings, incarnation_), this->make_server_ports(), upstream_,
-          *claims_))
+          *claims_)),
+      group_(std::make_shared<controllers::group_member>(
+          runtime_, clock_, log_service_,
+          controllers::group_member_options{.upstream = settings.upstream,
+                                            .upstream_address = settings.upstream_address,
+                                            .instance = settings.instance.instance,
+                                            .agent_incarnation = incarnation_}))
 {
     this->channel_ = std::make_unique<transport::message_server>(
         this->runtime_, settings.listen_address,
         transport::message_server_events{
             .on_frame = [this](const transport::connection_id& connection,
                                const wire::frame& frame) {
-                this->server_->on_frame(connection, frame);
+                const auto reply = [this, connection](wire::frame answer) {
+                    this->channel_->send(connection, std::move(answer));
+                };
+                if (!this->group_->on_frame(frame, reply)) {
+                    this->server_->on_frame(connection, frame);
+                }
             }});
     transport::http_server_options options;
     options.address = settings.operator_address;
@@ -102,6 +113,7 @@
     this->tick_regularly();
     this->send_heartbeats_regularly();
     this->probe_upstream_regularly();
+    this->group_->start();
     this->runtime_.start();
     this->log_.info("Serving upstream {} at {} to entries on {}, operators on {}, incarnation "
                     "{:016x}.",
@@ -163,6 +175,7 @@
     }
     this->server_->set_priorities(rules);
     const auto own = config.upstreams.find(this->settings_.upstream);
+    this->group_->on_config(config);
     this->configured_leaving_ =
         own != config.upstreams.end() && own->second.spec.state == model::upstream_state::leaving;
     this->update_leaving();
--- a/Source/commands/agent_process.h
+++ b/Source/commands/agent_process.h
@@ -11,6 +11,7 @@
 #include "controllers/agent_status.h"
 #include "controllers/claim_controller.h"
 #include "controllers/config_store.h"
+#include "controllers/group_member.h"
 #include "controllers/upstream_runner.h"
 #include "model/process_settings.h"
 #include "transport/http_server.h"
@@ -69,6 +70,7 @@
     std::shared_ptr<controllers::claim_controller> claims_;
     controllers::upstream_runner upstream_;
     std::shared_ptr<controllers::agent_server> server_;
+    std::shared_ptr<controllers::group_member> group_;
     std::unique_ptr<transport::message_server> channel_;
     std::unique_ptr<transport::http_server> operator_server_;
 };
--- a/Source/controllers/group_coordinator.cxx
+++ b/Source/controllers/group_coordinator.cxx
@@ -88,12 +88,7 @@
 void group_coordinator::begin_if_due(time_point now)
 {
     const auto own = this->ports_.own_status();
-    if (own.held_step == 0) {
-        this->held_since_ = time_point::max();
-    }
-    else if (this->held_since_ == time_point::max()) {
-        this->held_since_ = now;
-    }
+    this->watch_progress(own, now);
     if (now < this->next_check_) {
         return;
     }
@@ -105,18 +100,28 @@
         this->begin({*fence, round, this->options_.agent_incarnation}, now);
         return;
     }
-    const bool is_orphaned = this->held_since_ != time_point::max() &&
-                             now - this->held_since_ >= this->options_.recovery_delay;
-    if (is_orphaned) {
-        log_output().warning("Rank is held at step {} by nobody. It is resolved without a lease.",
-                             own.held_step);
+    const auto patience = this->options_.recovery_delay + this->options_.recovery_stagger;
+    if (now - this->progress_at_ >= patience) {
+        log_output().warning("The group has made no step since {} and nobody holds its lease. It "
+                             "is repaired without a lease.",
+                             own.next_step);
         this->with_lease_ = false;
+        this->progress_at_ = now;
         this->begin(
             {this->highest_.fence, this->highest_.round + 1, this->options_.agent_incarnation},
             now);
     }
 }
 
+void group_coordinator::watch_progress(const policy::rank_status& own, time_point now)
+{
+    const bool is_first = this->progress_at_ == time_point{};
+    if (is_first || own.next_step != this->last_next_step_) {
+        this->last_next_step_ = own.next_step;
+        this->progress_at_ = now;
+    }
+}
+
 void group_coordinator::begin(const policy::ballot& own, time_point now)
 {
     const auto target = this->with_lease_ && this->wanted_ ? this->wanted_->version() : 0;
@@ -151,7 +156,6 @@
     const auto version = this->attempt_->version();
     const bool is_new = this->wanted_ && version == this->wanted_->version();
     this->attempt_.reset();
-    this->held_since_ = time_point::max();
     this->next_check_ = now + this->options_.check_interval;
     if (is_new) {
         log_output().info("All ranks use map {}.", version);
--- a/Source/controllers/group_coordinator.h
+++ b/Source/controllers/group_coordinator.h
@@ -26,7 +26,8 @@
     duration token_interval = std::chrono::seconds(30);  ///< between looks at the expert load
     duration attempt_timeout = std::chrono::minutes(10); ///< for the loading of weights
     duration hold_timeout = std::chrono::seconds(1);     ///< for the pause of the group
-    duration recovery_delay = std::chrono::seconds(3);   ///< a hold this long has lost its owner
+    duration recovery_delay = std::chrono::seconds(3);   ///< a pause this long needs a repair
+    duration recovery_stagger{};                         ///< further delay, different at each agent
     duration resend_interval = std::chrono::milliseconds(100);
 };
 
@@ -47,8 +48,9 @@
 
 /// Keeps the ranks of one group on one expert map: brings up ranks that restarted, and switches
 /// maps when rebalancing pays off. Runs at each agent of the group; the holder of the group's
-/// lease acts. A hold whose owner is gone is resolved by any agent without the lease, so that an
-/// outage of the log does not stop the group. Thread safe.
+/// lease acts. If nobody holds the lease and the group makes no steps, any agent repairs it without
+/// the lease, so that an outage of the log does not stop the group: the ballots keep it safe.
+/// Thread safe.
 class group_coordinator {
 public:
     /// @param options the group
@@ -75,6 +77,7 @@
     };
 
     void begin_if_due(time_point now);
+    void watch_progress(const policy::rank_status& own, time_point now);
     void begin(const policy::ballot& own, time_point now);
     void check_attempt(time_point now);
     void finish_attempt(time_point now);
@@ -107,7 +110,8 @@
     time_point next_tokens_{};
     time_point last_tokens_at_{};
     time_point next_send_{};
-    time_point held_since_ = time_point::max();
+    time_point progress_at_{}; ///< when the own rank last began a step
+    std::uint64_t last_next_step_ = 0;
 };
 
 } // namespace medlaryoke::controllers
--- /dev/null
+++ b/Source/controllers/http_rank_engine.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+
+#include "controllers/rank_engine.h"
+#include "transport/http_client.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::controllers {
+
+/// The engine of a rank over HTTP. `GET /rank` gives its state as JSON: `incarnation`,
+/// `active_map`, `loaded_map`, `held_step`, `held_map`, `next_step`, `completed_step` and `tokens`
+/// (by layer and slot). `POST /orders` takes `action` (`load_map`, `hold`, `use_map`, `release`)
+/// with `map`, `step`, `layers` and `slots_per_rank`, and answers with the state: status 200 if
+/// the order was obeyed, 409 if not.
+class http_rank_engine final : public rank_engine {
+public:
+    /// @param context runs the exchanges
+    /// @param address IP address and port of the engine
+    http_rank_engine(transport::runtime& context, const std::string& address);
+
+    void read(done_function done) override;
+    void order(const policy::map_command& command, const wire::expert_map& map,
+               done_function done) override;
+
+private:
+    void fetch(const transport::http_request& request, done_function done);
+
+    transport::http_client client_;
+};
+
+} // namespace medlaryoke::controllers
--- a/Source/controllers/rank_controller.cxx
+++ b/Source/controllers/rank_controller.cxx
@@ -41,6 +41,17 @@
     this->run_next();
 }
 
+void rank_controller::poll()
+{
+    this->engine_.read([self = this->shared_from_this()](const auto& state) {
+        const std::scoped_lock lock(self->mutex_);
+        // While a command runs, its own answer is the newer one.
+        if (state && !self->running_) {
+            self->refresh(*state);
+        }
+    });
+}
+
 policy::rank_status rank_controller::status() const
 {
     const std::scoped_lock lock(this->mutex_);
--- a/Source/controllers/rank_controller.h
+++ b/Source/controllers/rank_controller.h
@@ -35,6 +35,9 @@
     /// @param reply takes the status of the rank
     void handle(received_map_command command, reply_function reply);
 
+    /// Reads the state of the engine, so that status() is recent.
+    void poll();
+
     /// @return last known state of the rank
     [[nodiscard]] policy::rank_status status() const;
 
--- a/Tests/Session/session_site.cxx
+++ b/Tests/Session/session_site.cxx
@@ -117,6 +117,44 @@
     this->send(this->platform_.address(), "PUT", "/control/" + what, {}, body.dump());
 }
 
+std::vector<agent_node> session_site::add_rank_group(unsigned ranks)
+{
+    standins::rank_group_options options;
+    options.addresses.assign(ranks, "127.0.0.1:0");
+    options.slots_per_rank = 3;
+    options.step_time = 5ms;
+    this->rank_group_ = std::make_unique<standins::rank_group_standin>(this->context_, options);
+    this->put("model_group", "pearl", 0,
+              {{"model", "pearl-moe"},
+               {"ranks", ranks},
+               {"experts_per_layer", 2 * ranks},
+               {"layers", options.layers}});
+    std::vector<agent_node> agents;
+    for (const auto& address : this->rank_group_->addresses()) {
+        const auto rank = agents.size();
+        const auto name = fmt::format("rank-{}", rank);
+        agents.push_back(this->start_agent(name, "pearl", "engine", address));
+        this->put("upstream", name, 0,
+                  {{"type", "engine"},
+                   {"serves", "pearl"},
+                   {"agent", agents.back().address},
+                   {"data_centre", "oslo-1"},
+                   {"rank", rank}});
+    }
+    return agents;
+}
+
+void session_site::control_rank_group(const json& faults)
+{
+    this->send(this->rank_group_->addresses().front(), "PUT", "/control/faults", {}, faults.dump());
+}
+
+json session_site::rank_group_steps()
+{
+    return json::parse(
+        this->send(this->rank_group_->addresses().front(), "GET", "/control/steps").body);
+}
+
 std::uint64_t session_site::received_by_engine(std::size_t upstream)
 {
     const auto& address = this->engines_.at(upstream)->address();
--- a/Tests/Session/session_site.h
+++ b/Tests/Session/session_site.h
@@ -11,6 +11,7 @@
 #include "Session/product_process.h"
 #include "StandIns/engine_standin.h"
 #include "StandIns/platform_standin.h"
+#include "StandIns/rank_group_standin.h"
 #include "StandIns/service_standin.h"
 #include "transport/http_client.h"
 #include "transport/runtime.h"
@@ -94,6 +95,18 @@
     /// @return whether that came true
     bool wait_until_connected();
 
+    /// Starts a lock-step group with an agent for each rank, and declares it.
+    /// @param ranks number of ranks
+    /// @return the agents, in the order of the ranks
+    std::vector<agent_node> add_rank_group(unsigned ranks);
+
+    /// Sends faults to the lock-step group.
+    /// @param faults as taken by its stand-in
+    void control_rank_group(const nlohmann::json& faults);
+
+    /// @return steps that the lock-step group has made, and how many ran on different maps
+    nlohmann::json rank_group_steps();
+
     /// Starts an agent again at its address.
     void restart(agent_node& agent);
 
@@ -115,6 +128,7 @@
     standins::platform_standin platform_;
     std::vector<std::unique_ptr<standins::engine_standin>> engines_;
     std::vector<std::unique_ptr<standins::service_standin>> services_;
+    std::unique_ptr<standins::rank_group_standin> rank_group_;
     std::vector<agent_node> agents_;
     std::vector<entry_node> entries_;
 };
--- a/Tests/controllers/test_group_coordinator.cxx
+++ b/Tests/controllers/test_group_coordinator.cxx
@@ -52,6 +52,7 @@
         options.shape = small_shape;
         options.layers = 2;
         options.token_interval = 5s;
+        options.recovery_stagger = n * 200ms;
         options.costs = {.step_time = 25ms,
                          .expert_part = 0.5,
                          .bytes_per_expert = 1e6,
@@ -91,6 +92,7 @@
             this->engines.run_step();
             for (auto& it : this->agents) {
                 if (it.alive) {
+                    it.rank->poll();
                     it.coordinator->tick(this->now);
                 }
             }
@@ -193,6 +195,20 @@
     cr_assert(it.makes_steps(1s));
 }
 
+// Guards against a rank that restarts while the log is down stopping the group for the outage.
+Test(group_coordinator, restarted_rank_joins_without_a_lease)
+{
+    agent_group it;
+    it.run(3s);
+    const auto version = it.version(0);
+    it.holder.reset();
+    it.run(1s);
+    it.engines.engines[2]->restart();
+    it.run(10s);
+    cr_assert(it.makes_steps(1s));
+    cr_assert(it.version(2) == version);
+}
+
 // Guards against a switch under uneven load that is never made, or made without effect.
 Test(group_coordinator, uneven_load_leads_to_a_switch)
 {
