policy: Lower the limit further while refusals go on

Cause: a window ended only after successes, so an upstream that refused every call saw its limit cut once.

Change: after as many refusals as the limit another cut follows. Abandoned calls from before a cut no longer stand for later ones.

--- a/Source/policy/concurrency_limit.cxx
+++ b/Source/policy/concurrency_limit.cxx
@@ -46,9 +46,6 @@
     if (this->in_flight_ > 0) {
         --this->in_flight_;
     }
-    if (outcome == call_outcome::abandoned) {
-        return;
-    }
     if (this->outdated_ > 0) {
         --this->outdated_;
     }
@@ -56,16 +53,27 @@
         this->latency_sum_ += std::chrono::duration<double>(latency).count();
         ++this->samples_;
     }
-    else if (outcome == call_outcome::refused && !this->refused_) {
-        // Once per window: the refusals of one overload arrive together.
-        this->refused_ = true;
-        this->limit_ = std::max<double>(this->options_.minimum, this->limit_ * refusal_backoff);
+    else if (outcome == call_outcome::refused) {
+        this->on_refusal();
     }
     if (this->samples_ >= std::max<std::size_t>(min_window_samples, this->limit())) {
         this->finish_window();
     }
 }
 
+/// Cuts once for the refusals of one overload, which arrive together, and again if they go on.
+void concurrency_limit::on_refusal()
+{
+    if (!this->refused_) {
+        this->refused_ = true;
+        this->limit_ = std::max<double>(this->options_.minimum, this->limit_ * refusal_backoff);
+    }
+    if (++this->refusals_ > this->limit()) {
+        this->refusals_ = 0;
+        this->refused_ = false;
+    }
+}
+
 void concurrency_limit::finish_window()
 {
     const auto mean = this->latency_sum_ / static_cast<double>(this->samples_);
@@ -80,6 +88,7 @@
     this->latency_sum_ = 0;
     this->most_in_flight_ = this->in_flight_;
     this->refused_ = false;
+    this->refusals_ = 0;
 }
 
 void concurrency_limit::probe(double mean)
--- a/Source/policy/concurrency_limit.h
+++ b/Source/policy/concurrency_limit.h
@@ -45,6 +45,7 @@
     [[nodiscard]] unsigned in_flight() const { return this->in_flight_; }
 
 private:
+    void on_refusal();
     void finish_window();
     void probe(double mean);
     void adapt(double mean);
@@ -61,7 +62,8 @@
     unsigned windows_below_ceiling_ = 0;
     unsigned outdated_ = 0; ///< calls from before the last cut, whose latency is not counted
     unsigned windows_;      ///< since the last probe
-    bool refused_ = false;
+    bool refused_ = false;  ///< the limit was cut for a refusal in this window
+    unsigned refusals_ = 0; ///< since that cut
 };
 
 } // namespace medlaryoke::policy
