--- a/Tests/policy/test_concurrency_limit.cxx
+++ b/Tests/policy/test_concurrency_limit.cxx
@@ -1,6 +1,5 @@
 #include "policy/concurrency_limit.h"
 
-#include <cmath>
 #include <numeric>
 #include <random>
 #include <vector>
@@ -57,7 +56,7 @@
             refused = ++refusals <= static_cast<unsigned>(limit);
             refusals = refused ? refusals : 0;
         }
-        if (samples.size() < std::max(10.0, std::floor(limit))) {
+        if (samples.size() < std::max<std::size_t>(10, static_cast<std::size_t>(limit))) {
             continue;
         }
         const auto mean = std::accumulate(samples.begin(), samples.end(), 0.0) /
