policy: Split the priority out of work_queue

Change: the organisations of one priority and their indexes move to priority_class; names of its functions say what they link. No change in behaviour.

--- a/Source/policy/work_queue.cxx
+++ b/Source/policy/work_queue.cxx
@@ -2,16 +2,15 @@
 
 #include <algorithm>
 #include <chrono>
-#include <deque>
 #include <iterator>
-#include <limits>
 #include <list>
 #include <map>
 #include <set>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 
+#include "policy/priority_class.h"
+
 namespace medlaryoke::policy {
 
 namespace {
@@ -24,149 +23,12 @@
 /// for the way and the prompt.
 constexpr double fresh_part = 0.8;
 
-struct waiting_item {
-    work_item item;
-    time_point arrived;
-    bool late = false;
-};
-
-struct organisation_queue {
-    std::string name;
-    std::list<waiting_item> fresh; ///< can still meet their target, oldest first
-    std::list<waiting_item> late;  ///< missed their target, oldest first
-    double start_tag = 0;          ///< virtual time at which the next item may start
-    double queued_cost = 0;
-    double fresh_cost = 0;
-    double share = 1; ///< of the newest item
-
-    [[nodiscard]] bool empty() const { return this->fresh.empty() && this->late.empty(); }
-};
-
-struct organisation_order {
-    double key = 0;
-    const organisation_queue* queue = nullptr;
-
-    bool operator<(const organisation_order& other) const
-    {
-        return std::tie(this->key, this->queue->name) < std::tie(other.key, other.queue->name);
-    }
-};
-
-/// Requests of one priority, shared between organisations by start-time fair queueing.
-struct priority_class {
-    priority_rule rule;
-    std::map<std::string, organisation_queue> organisations;
-    std::set<organisation_order> fresh_by_start; ///< with fresh requests, by start tag
-    std::set<organisation_order> late_by_start;  ///< with late requests, by start tag
-    std::set<organisation_order> by_backlog; ///< with waiting requests, by queued cost over share
-    std::set<organisation_order> idle;       ///< without waiting requests, by end_of_debt()
-    double virtual_time = 0;
-    double burst = 0; ///< see work_queue_options
-    double queued_cost = 0;
-    double fresh_cost = 0;
-    double fresh_shares = 0; ///< of the organisations with fresh requests
-    double floor_credit = 0; ///< cost owed to the floor; negative after an item that exceeded it
-    std::size_t size = 0;
-    /// Fresh requests by arrival; those that were removed are skipped.
-    std::deque<std::pair<time_point, std::uint64_t>> becoming_late;
-};
-
 struct item_position {
     unsigned priority = 0;
     organisation_queue* organisation = nullptr;
     std::list<waiting_item>::iterator item;
 };
 
-double backlog_of(const organisation_queue& queue)
-{
-    return queue.queued_cost / queue.share;
-}
-
-/// Virtual time from which an idle organisation need not be remembered.
-double end_of_debt(const priority_class& group, const organisation_queue& queue)
-{
-    return queue.start_tag + group.burst;
-}
-
-/// Earliest virtual time at which an organisation that was idle may start.
-double earliest_start(const priority_class& group, const organisation_queue& queue)
-{
-    return std::max(queue.start_tag, group.virtual_time - group.burst);
-}
-
-void unlink(priority_class& group, organisation_queue& queue)
-{
-    if (queue.empty()) {
-        group.idle.erase({end_of_debt(group, queue), &queue});
-        return;
-    }
-    if (!queue.fresh.empty()) {
-        group.fresh_by_start.erase({queue.start_tag, &queue});
-        group.fresh_shares -= queue.share;
-    }
-    group.late_by_start.erase({queue.start_tag, &queue});
-    group.by_backlog.erase({backlog_of(queue), &queue});
-    group.queued_cost -= queue.queued_cost;
-    group.fresh_cost -= queue.fresh_cost;
-}
-
-void link(priority_class& group, organisation_queue& queue)
-{
-    if (queue.empty()) {
-        queue.queued_cost = 0;
-        queue.fresh_cost = 0;
-        group.idle.insert({end_of_debt(group, queue), &queue});
-        return;
-    }
-    if (!queue.fresh.empty()) {
-        group.fresh_by_start.insert({queue.start_tag, &queue});
-        group.fresh_shares += queue.share;
-    }
-    if (!queue.late.empty()) {
-        group.late_by_start.insert({queue.start_tag, &queue});
-    }
-    group.by_backlog.insert({backlog_of(queue), &queue});
-    group.queued_cost += queue.queued_cost;
-    group.fresh_cost += queue.fresh_cost;
-}
-
-organisation_queue& find_or_add(priority_class& group, const std::string& name)
-{
-    const auto [it, added] = group.organisations.try_emplace(name);
-    auto& queue = it->second;
-    if (added) {
-        queue.name = name;
-        // Before any time at which it could start.
-        queue.start_tag = std::numeric_limits<double>::lowest();
-        link(group, queue);
-    }
-    return queue;
-}
-
-/// Forgets idle organisations that owe nothing; they would restart at the virtual time anyway.
-void forget_idle(priority_class& group)
-{
-    while (!group.idle.empty() && group.idle.begin()->key <= group.virtual_time) {
-        const auto it = group.organisations.find(group.idle.begin()->queue->name);
-        group.idle.erase(group.idle.begin());
-        group.organisations.erase(it);
-    }
-}
-
-/// Late requests are served only when no organisation has a fresh one, newest first. Among fresh
-/// ones the oldest is taken, or the newest once the oldest has used half of its target: under
-/// lasting overload the oldest would always be answered just too late.
-const work_item& choose_item(const priority_class& group, time_point now)
-{
-    if (group.fresh_by_start.empty()) {
-        return group.late_by_start.begin()->queue->late.back().item;
-    }
-    const auto& items = group.fresh_by_start.begin()->queue->fresh;
-    const auto target = group.rule.first_token_target;
-    const bool overloaded = target > duration::zero() && now - items.front().arrived > target / 2;
-    return overloaded ? items.back().item : items.front().item;
-}
-
 bool has_deadline(const work_item& item)
 {
     return item.deadline != time_point{};
@@ -187,7 +49,7 @@
         this->collect_late(now);
         auto& group = this->class_of(item.priority);
         auto& queue = find_or_add(group, item.organisation);
-        unlink(group, queue);
+        unlink_organisation(group, queue);
         queue.share = item.share;
         if (queue.empty()) {
             queue.start_tag = earliest_start(group, queue);
@@ -205,7 +67,7 @@
             group.becoming_late.emplace_back(now, id);
         }
         ++group.size;
-        link(group, queue);
+        link_organisation(group, queue);
         std::vector<work_item> refused;
         while (this->positions_.size() > this->options_.max_items) {
             refused.push_back(this->evict());
@@ -226,9 +88,9 @@
         auto item = this->take(next.id);
         auto& queue = find_or_add(*group, item.organisation);
         group->virtual_time = std::max(group->virtual_time, queue.start_tag);
-        unlink(*group, queue);
+        unlink_organisation(*group, queue);
         queue.start_tag += item.cost / item.share;
-        link(*group, queue);
+        link_organisation(*group, queue);
         forget_idle(*group);
         return item;
     }
@@ -252,14 +114,14 @@
     {
         auto& group = this->class_of(priority);
         auto& queue = find_or_add(group, organisation);
-        unlink(group, queue);
+        unlink_organisation(group, queue);
         if (share > 0) {
             queue.share = share;
         }
         const auto base = earliest_start(group, queue);
         const auto bound = group.virtual_time + this->options_.max_debt / queue.share;
         queue.start_tag = std::max(base, std::min(base + cost / queue.share, bound));
-        link(group, queue);
+        link_organisation(group, queue);
     }
 
     void set_priorities(std::vector<priority_rule> priorities)
@@ -326,13 +188,13 @@
         this->positions_.erase(it);
         auto& group = this->classes_[position.priority];
         auto& queue = *position.organisation;
-        unlink(group, queue);
+        unlink_organisation(group, queue);
         work_item item = std::move(position.item->item);
         queue.queued_cost -= item.cost;
         queue.fresh_cost -= position.item->late ? 0 : item.cost;
         (position.item->late ? queue.late : queue.fresh).erase(position.item);
         --group.size;
-        link(group, queue);
+        link_organisation(group, queue);
         if (has_deadline(item)) {
             this->deadlines_.erase({item.deadline, item.id});
         }
@@ -426,11 +288,11 @@
     static void make_late(priority_class& group, const item_position& position)
     {
         auto& queue = *position.organisation;
-        unlink(group, queue);
+        unlink_organisation(group, queue);
         position.item->late = true;
         queue.fresh_cost -= position.item->item.cost;
         queue.late.splice(queue.late.end(), queue.fresh, position.item);
-        link(group, queue);
+        link_organisation(group, queue);
     }
 
     work_queue_options options_;
