--- a/Utilities/local_site.py
+++ b/Utilities/local_site.py
@@ -101,6 +101,10 @@
                  slots=64):
         self.build = REPOSITORY / "build" / preset
         self.binary = self.build / "Source" / "commands" / "medlaryoke"
+        for it in (self.binary, self.build / "Tests" / "StandIns" / "standin_platform"):
+            if not it.exists():
+                raise SiteError(f"{it} does not exist; build it with "
+                                f"cmake --build --preset {self.build.name}")
         self.counts = (engines, services, entries)
         self.proxy = proxy or (lambda group, address: address)
         self.address_lifetime = address_lifetime
