transport: Read long instance lists less often

Cause: an entry read the whole list each second; at 1,720 instances of 111 bytes that is 191 KB/s and 1.6% of a core, against 5 KB/s and 2.5% for all of control (docs/CAPACITY.md). Change: the pause grows with the size of the list, to 2,000 bytes/s at most. Figures: worked out, 191 KB/s before and 2 KB/s after; not measured again. Conclusion: sites of today read it each second as before; at the planned size a change that only the list shows is seen after about 95 s.

--- a/Source/transport/instance_list_client.cxx
+++ b/Source/transport/instance_list_client.cxx
@@ -1,5 +1,6 @@
 #include "transport/instance_list_client.h"
 
+#include <algorithm>
 #include <exception>
 #include <mutex>
 #include <optional>
@@ -17,6 +18,8 @@
 
 using json = nlohmann::json;
 
+constexpr std::size_t max_list_bytes_per_second = 2000;
+
 std::optional<std::string> get_text(const json& object, const char* key)
 {
     const auto it = object.find(key);
@@ -65,6 +68,12 @@
 
 } // namespace
 
+duration next_poll_pause(duration interval, std::size_t list_bytes)
+{
+    const duration for_size = std::chrono::seconds(list_bytes / max_list_bytes_per_second);
+    return std::max(interval, for_size);
+}
+
 class instance_list_client::implementation : public std::enable_shared_from_this<implementation> {
 public:
     implementation(runtime& context, instance_list_options options, list_handler on_list)
@@ -103,6 +112,7 @@
     {
         constexpr unsigned status_ok = 200;
         std::string reason;
+        std::size_t list_bytes = 0;
         if (const auto* failure = std::get_if<http_failure>(&result)) {
             reason = failure->message;
         }
@@ -111,6 +121,7 @@
             reason = fmt::format("it answered {}", response.head.status);
         }
         else if (const auto list = parse_list(response.body)) {
+            list_bytes = response.body.size();
             this->deliver(*list);
         }
         else {
@@ -119,12 +130,12 @@
         this->report(reason);
         const std::scoped_lock lock(this->mutex_);
         if (this->client_) {
-            this->timer_ =
-                this->context_.after(this->options_.interval, [weak = this->weak_from_this()] {
-                    if (const auto self = weak.lock()) {
-                        self->poll();
-                    }
-                });
+            const auto pause = next_poll_pause(this->options_.interval, list_bytes);
+            this->timer_ = this->context_.after(pause, [weak = this->weak_from_this()] {
+                if (const auto self = weak.lock()) {
+                    self->poll();
+                }
+            });
         }
     }
 
--- a/Source/transport/instance_list_client.h
+++ b/Source/transport/instance_list_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -22,11 +23,18 @@
 };
 
 struct instance_list_options {
-    std::string address; ///< IP address and port of the platform's list
-    duration interval = std::chrono::seconds(1);
+    std::string address;                         ///< IP address and port of the platform's list
+    duration interval = std::chrono::seconds(1); ///< shortest pause between two polls
     duration request_timeout = std::chrono::seconds(2);
 };
 
+/// Chooses the pause before the next poll. A long list is read less often, so that reading it stays
+/// within a part of the 5 KB/s that an instance may spend on control.
+/// @param interval shortest pause
+/// @param list_bytes size of the last list
+/// @return the pause
+duration next_poll_pause(duration interval, std::size_t list_bytes);
+
 /// Polls the platform's list of instances.
 class instance_list_client {
 public:
--- a/Tests/transport/test_log_client.cxx
+++ b/Tests/transport/test_log_client.cxx
@@ -157,6 +157,17 @@
     }
 }
 
+// Guards against the list of a large fleet taking all of the bytes allowed for control (191 KB/s of
+// 5 KB/s at 1,720 instances), and against a small site noticing changes later than needed.
+Test(instance_list_client, reads_long_lists_less_often)
+{
+    using namespace std::chrono_literals;
+    constexpr std::size_t bytes_per_instance = 111;
+    cr_assert(next_poll_pause(1s, 23 * bytes_per_instance) <= 1s);
+    cr_assert(next_poll_pause(1s, 1720 * bytes_per_instance) >= 90s);
+    cr_assert(next_poll_pause(1s, 0) == 1s);
+}
+
 // Guards against instances that are dropped from the list or lose their leaving mark.
 Test(instance_list_client, follows_the_list)
 {
