--- a/Source/controllers/handover_api.cxx
+++ b/Source/controllers/handover_api.cxx
@@ -155,6 +155,9 @@
                     "The old router owns work that was never offered.");
     }
     auto body = describe(work_id, item->owner, item->state, item->version);
+    if (item->state == policy::work_state::started) {
+        body["runner"] = item->runner;
+    }
     if (item->state == policy::work_state::completed && !item->content.empty()) {
         body["result"] = json::parse(item->content);
     }
