commands: Add the report on service-level burn

Operators need the use of each budget and the cause of the misses. `report` reads the samples of running entries or sample files, merges them, and writes tables by priority, organisation and model group as text, JSON or one HTML page with plots as inline SVG. A sample file is replaced by a rename, and only after the old one was read.

--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -11,6 +11,7 @@
 #include "commands/check_command.h"
 #include "commands/entry_command.h"
 #include "commands/get_command.h"
+#include "commands/report_command.h"
 #include "commands/status_command.h"
 #include "commands/watch_command.h"
 
@@ -33,6 +34,7 @@
     check_command::add_to(app);
     entry_command::add_to(app);
     get_command::add_to(app);
+    report_command::add_to(app);
     status_command::add_to(app);
     watch_command::add_to(app);
     try {
--- /dev/null
+++ b/Source/commands/report_page.cxx
@@ -0,0 +1,169 @@
+#include "commands/report_page.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace medlaryoke::commands {
+
+namespace {
+
+using policy::burn_row;
+using policy::burn_view;
+
+constexpr double percent = 100;
+constexpr std::size_t points = 60;
+constexpr double plot_width = 600; ///< of all plots, in SVG units
+constexpr double plot_height = 120;
+constexpr double bar_height = 16;
+constexpr double full_budget_rate = 1; ///< spends exactly the budget
+constexpr std::array cause_names{"queueing", "upstream", "refusal", "unknown"};
+constexpr std::array cause_colours{"#d95f02", "#1b6ca8", "#a6761d", "#777777"};
+
+constexpr std::string_view head =
+    "<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">"
+    "<title>Service-level burn</title>\n<style>body{font-family:sans-serif;margin:2em}"
+    "table{border-collapse:collapse}td,th{padding:.2em .7em;text-align:right;"
+    "border-bottom:1px solid #ccc}td:first-child,th:first-child{text-align:left}"
+    "</style></head>\n<body><h1>Service-level burn</h1>\n";
+
+std::string escape(std::string_view text)
+{
+    std::string result;
+    for (const char c : text) {
+        switch (c) {
+        case '&':
+            result += "&amp;";
+            break;
+        case '<':
+            result += "&lt;";
+            break;
+        case '>':
+            result += "&gt;";
+            break;
+        case '"':
+            result += "&quot;";
+            break;
+        default:
+            result += c;
+        }
+    }
+    return result;
+}
+
+std::string percentage(std::optional<double> value)
+{
+    return value ? fmt::format("{:.2f}%", *value * percent) : "-";
+}
+
+std::string rate_text(std::optional<double> value)
+{
+    return value ? fmt::format("{:.2f}", *value) : "-";
+}
+
+std::string make_table(const std::vector<burn_row>& rows, std::string_view title)
+{
+    auto text = fmt::format("<h2>By {}</h2>\n<table><tr><th>{}</th><th>requests</th>"
+                            "<th>target</th><th>attained</th><th>left</th><th>burn, short</th>"
+                            "<th>burn, long</th>",
+                            title, title);
+    for (const auto* name : cause_names) {
+        text += fmt::format("<th>{}</th>", name);
+    }
+    text += "</tr>\n";
+    for (const auto& it : rows) {
+        text += fmt::format("<tr><td>{}</td><td>{:.0f}</td><td>{}</td><td>{}</td><td>{}</td>"
+                            "<td>{}</td><td>{}</td>",
+                            escape(it.name), it.period.sums.total(), percentage(it.target()),
+                            percentage(it.attained()), percentage(it.budget_left()),
+                            rate_text(it.short_window.rate()), rate_text(it.long_window.rate()));
+        for (const auto cause : policy::miss_causes) {
+            text += fmt::format("<td>{:.0f}</td>", it.period.sums[cause]);
+        }
+        text += "</tr>\n";
+    }
+    return text + "</table>\n";
+}
+
+/// Draws the division of each row's misses into causes as one stacked bar.
+std::string make_cause_bars(const std::vector<burn_row>& rows)
+{
+    std::string text;
+    for (const auto& it : rows) {
+        const auto missed = it.period.sums.missed();
+        if (missed <= 0) {
+            continue;
+        }
+        text += fmt::format("<p>{}: {:.0f} missed<br><svg width=\"{}\" height=\"{}\">",
+                            escape(it.name), missed, plot_width, bar_height);
+        double x = 0;
+        for (std::size_t i = 0; i < cause_names.size(); ++i) {
+            const auto n = it.period.sums[policy::miss_causes.at(i)];
+            const auto width = n / missed * plot_width;
+            text += fmt::format("<rect x=\"{:.1f}\" width=\"{:.1f}\" height=\"{}\" fill=\"{}\">"
+                                "<title>{}: {:.0f}</title></rect>",
+                                x, width, bar_height, cause_colours.at(i), cause_names.at(i), n);
+            x += width;
+        }
+        text += "</svg></p>\n";
+    }
+    return text;
+}
+
+/// Draws the burn rate over time; the dashed line is a rate of 1. Gaps mean that no requests are
+/// known.
+std::string make_history_plot(const std::vector<std::optional<double>>& values)
+{
+    double highest = full_budget_rate;
+    for (const auto& it : values) {
+        highest = std::max(highest, it.value_or(0));
+    }
+    const auto y = [highest](double value) { return plot_height * (1 - value / highest); };
+    auto text = fmt::format("<svg width=\"{0}\" height=\"{1}\" viewBox=\"0 0 {0} {1}\">"
+                            "<line x1=\"0\" x2=\"{0}\" y1=\"{2:.1f}\" y2=\"{2:.1f}\" "
+                            "stroke=\"#999\" stroke-dasharray=\"4\"/><path fill=\"none\" "
+                            "stroke=\"#d95f02\" stroke-width=\"2\" d=\"",
+                            plot_width, plot_height, y(full_budget_rate));
+    bool connected = false;
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        const auto& value = values.at(i);
+        if (value) {
+            const auto x =
+                plot_width * static_cast<double>(i + 1) / static_cast<double>(values.size());
+            text += fmt::format("{}{:.1f} {:.1f}", connected ? 'L' : 'M', x, y(*value));
+        }
+        connected = value.has_value();
+    }
+    return text + fmt::format("\"/></svg><br>highest shown: {:.2f}", highest);
+}
+
+} // namespace
+
+std::string make_report_page(const policy::burn_rate& burn, const policy::burn_windows& windows)
+{
+    std::string text(head);
+    text += fmt::format("<p>{} snapshots, {} restarts, {} resets</p>\n", burn.snapshots(),
+                        burn.restarts(), burn.resets());
+    const auto priorities = burn.table(burn_view::priority, windows);
+    text += make_table(priorities, "priority");
+    text += "<h3>Burn rate over the short window</h3>\n";
+    for (const auto& it : priorities) {
+        text += fmt::format("<p>{}<br>{}</p>\n", escape(it.name),
+                            make_history_plot(burn.history(it.name, windows.short_window, points)));
+    }
+    text += "<h3>Causes of misses</h3>\n<p>";
+    for (std::size_t i = 0; i < cause_names.size(); ++i) {
+        text += fmt::format("<span style=\"color:{}\">&#9632;</span> {} ", cause_colours.at(i),
+                            cause_names.at(i));
+    }
+    text += "</p>\n" + make_cause_bars(priorities);
+    text += make_table(burn.table(burn_view::organisation, windows), "organisation");
+    text += make_table(burn.table(burn_view::target, windows), "model group");
+    return text + "</body></html>\n";
+}
+
+} // namespace medlaryoke::commands
--- /dev/null
+++ b/Source/commands/sample_file.cxx
@@ -0,0 +1,176 @@
+#include "commands/sample_file.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include "base/error.h"
+
+namespace medlaryoke::commands {
+
+namespace {
+
+using nlohmann::json;
+using policy::counter_snapshot;
+
+constexpr int format_version = 1;
+constexpr const char* format_name = "medlaryoke-samples";
+constexpr std::array counter_names{"within_target", "queueing", "upstream",
+                                   "refusal",       "unknown",  "cancelled"};
+constexpr std::size_t first_cause = 1;
+constexpr std::size_t cancelled_index = 5;
+
+bool is_miss(std::size_t counter)
+{
+    return counter >= first_cause && counter < cancelled_index;
+}
+
+counter_snapshot to_snapshot(const json& body)
+{
+    counter_snapshot result{
+        body.at("instance"),
+        body.at("incarnation"),
+        policy::sample_time(std::chrono::milliseconds(body.at("time_unix_ms").get<long>())),
+        {}};
+    for (const auto& it : body.at("samples")) {
+        auto& values = result.samples[{it.at("priority"), it.at("organisation"), it.at("target")}];
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            const auto& object = is_miss(i) ? it.at("missed") : it;
+            values.at(i) = object.at(counter_names.at(i)).get<std::uint64_t>();
+        }
+    }
+    return result;
+}
+
+json to_json(const counter_snapshot& snapshot)
+{
+    json samples = json::array();
+    for (const auto& [key, values] : snapshot.samples) {
+        policy::request_sums sums;
+        sums.add(values, 1);
+        json it{{"priority", key.priority},
+                {"organisation", key.organisation},
+                {"target", key.target},
+                {"total", static_cast<std::uint64_t>(sums.total())}};
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            (is_miss(i) ? it["missed"] : it)[counter_names.at(i)] = values.at(i);
+        }
+        samples.push_back(std::move(it));
+    }
+    return {{"instance", snapshot.instance},
+            {"incarnation", snapshot.incarnation},
+            {"time_unix_ms", snapshot.time.time_since_epoch().count()},
+            {"samples", std::move(samples)}};
+}
+
+std::map<std::string, double> to_attainments(const json& resources)
+{
+    std::map<std::string, double> result;
+    for (const auto& it : resources) {
+        result[it.at("name").get<std::string>()] = it.at("spec").at("attainment").get<double>();
+    }
+    return result;
+}
+
+/// Runs `read` on the parsed text and names the place in errors.
+template <typename Read>
+auto parse(const std::string& text, const std::string& place, const char* remedy, Read read)
+{
+    try {
+        return read(json::parse(text));
+    }
+    catch (const json::exception& e) {
+        throw error(error_kind::invalid_argument, fmt::format("{}: {}", place, e.what()), remedy);
+    }
+}
+
+constexpr const char* wrong_listener = "Check that the address is the operator listener of an "
+                                       "entry.";
+
+void check_header(const json& body, const std::string& path)
+{
+    if (!body.is_object() || body.value("format", json()) != format_name) {
+        throw error(error_kind::invalid_argument, fmt::format("{}: not a sample file", path),
+                    "Name a file that report --save wrote.");
+    }
+    const auto& version = body.at("version");
+    if (version != format_version) {
+        throw error(error_kind::protocol_mismatch,
+                    fmt::format("{}: version {} of the sample format instead of {}", path,
+                                version.dump(), format_version),
+                    "Read it with the release that wrote it, or save to another file.");
+    }
+}
+
+} // namespace
+
+void sample_set::merge(sample_set other)
+{
+    for (const auto& [name, value] : other.attainments) {
+        this->attainments[name] = value;
+    }
+    std::ranges::move(other.snapshots, std::back_inserter(this->snapshots));
+}
+
+counter_snapshot parse_samples(const std::string& text, const std::string& place)
+{
+    return parse(text, place, wrong_listener, to_snapshot);
+}
+
+std::map<std::string, double> parse_attainments(const std::string& text, const std::string& place)
+{
+    return parse(text, place, wrong_listener,
+                 [](const json& body) { return to_attainments(body.at("resources")); });
+}
+
+sample_set read_sample_file(const std::string& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(in), {}};
+    if (!in) {
+        throw error(error_kind::not_found, fmt::format("{}: cannot be read", path),
+                    "Check the name and the permissions of the file.");
+    }
+    return parse(text, path,
+                 "The file is truncated or damaged. Restore it from a copy, or leave it out.",
+                 [&path](const json& body) {
+                     check_header(body, path);
+                     sample_set result{to_attainments(body.at("priorities")), {}};
+                     for (const auto& it : body.at("snapshots")) {
+                         result.snapshots.push_back(to_snapshot(it));
+                     }
+                     return result;
+                 });
+}
+
+void write_sample_file(const std::string& path, const sample_set& samples)
+{
+    json body{{"format", format_name},
+              {"version", format_version},
+              {"priorities", json::array()},
+              {"snapshots", json::array()}};
+    for (const auto& [name, attainment] : samples.attainments) {
+        body["priorities"].push_back({{"name", name}, {"spec", {{"attainment", attainment}}}});
+    }
+    for (const auto& it : samples.snapshots) {
+        body["snapshots"].push_back(to_json(it));
+    }
+    const auto temporary = fmt::format("{}.{}.tmp", path, getpid());
+    std::ofstream out(temporary, std::ios::binary);
+    out << body.dump() << '\n';
+    out.close();
+    if (!out || std::rename(temporary.c_str(), path.c_str()) != 0) {
+        std::remove(temporary.c_str());
+        throw error(error_kind::unavailable, fmt::format("{}: cannot be written", path),
+                    "Check the space and the permissions of the folder.");
+    }
+}
+
+} // namespace medlaryoke::commands
--- a/Source/policy/burn_rate.h
+++ b/Source/policy/burn_rate.h
@@ -25,11 +25,11 @@
     cancelled,
 };
 
-constexpr std::size_t service_counters = 6;
+inline constexpr std::size_t service_counters = 6;
 
 /// The causes of a miss, in the order in which reports show them.
-constexpr std::array miss_causes{service_counter::queueing, service_counter::upstream,
-                                 service_counter::refusal, service_counter::unknown};
+inline constexpr std::array miss_causes{service_counter::queueing, service_counter::upstream,
+                                        service_counter::refusal, service_counter::unknown};
 
 /// Counters as an entry reports them, indexed by `service_counter`.
 using counter_values = std::array<std::uint64_t, service_counters>;
