--- /dev/null
+++ b/Tests/commands/test_report_command.cxx
@@ -0,0 +1,147 @@
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <sstream>
+#include <string>
+#include <unistd.h>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "commands/command_line.h"
+#include "transport/http_server.h"
+#include "transport/runtime.h"
+
+using namespace medlaryoke;
+
+namespace {
+
+const std::string folder = MEDLARYOKE_SOURCE_DIR "/Tests/commands/";
+
+struct command_result {
+    int code = 0;
+    std::string out;
+    std::string err;
+};
+
+command_result run(std::vector<std::string> arguments)
+{
+    arguments.insert(arguments.begin(), {"medlaryoke", "report"});
+    std::vector<char*> argv;
+    for (auto& it : arguments) {
+        argv.push_back(it.data());
+    }
+    std::ostringstream out;
+    std::ostringstream err;
+    auto* old_out = std::cout.rdbuf(out.rdbuf());
+    auto* old_err = std::cerr.rdbuf(err.rdbuf());
+    const auto code = commands::run_command_line(static_cast<int>(argv.size()), argv.data());
+    std::cout.rdbuf(old_out);
+    std::cerr.rdbuf(old_err);
+    return {code, out.str(), err.str()};
+}
+
+std::string read(const std::string& path)
+{
+    std::ifstream in(path);
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+/// Compares with the golden file, or writes it if MEDLARYOKE_UPDATE_GOLDEN is set.
+void check_golden(const std::string& format)
+{
+    const auto path = folder + "report." + format + ".golden";
+    const auto result = run({"--samples", folder + "samples.json", "--format", format});
+    cr_assert(result.code == 0, "%s", result.err.c_str());
+    if (std::getenv("MEDLARYOKE_UPDATE_GOLDEN") != nullptr) {
+        std::ofstream(path) << result.out;
+    }
+    cr_assert(result.out == read(path), "%s:\n%s", path.c_str(), result.out.c_str());
+}
+
+/// Name of a file in a folder of its own, which goes away with the object.
+class scratch_path {
+public:
+    scratch_path()
+    {
+        std::string name = "/tmp/medlaryoke-test-XXXXXX";
+        this->folder_ = mkdtemp(name.data());
+        this->path = this->folder_ + "/samples";
+    }
+    scratch_path(const scratch_path&) = delete;
+    scratch_path& operator=(const scratch_path&) = delete;
+    scratch_path(scratch_path&&) = delete;
+    scratch_path& operator=(scratch_path&&) = delete;
+    ~scratch_path() { std::filesystem::remove_all(this->folder_); }
+
+    std::string path;
+
+private:
+    std::string folder_;
+};
+
+void check_refused(const std::string& text, const std::string& problem, const std::string& remedy)
+{
+    const scratch_path file;
+    std::ofstream(file.path) << text;
+    for (const auto& arguments :
+         {std::vector<std::string>{"--samples", file.path},
+          std::vector<std::string>{"--samples", folder + "samples.json", "--save", file.path}}) {
+        const auto result = run(arguments);
+        cr_assert(result.code == 1 && result.out.empty());
+        cr_assert(result.err.find(problem) != std::string::npos, "%s", result.err.c_str());
+        cr_assert(result.err.find(remedy) != std::string::npos, "%s", result.err.c_str());
+        cr_assert(read(file.path) == text);
+    }
+}
+
+} // namespace
+
+// Guards against changes of the output that nobody noticed, and against names that break the page.
+Test(report_command, matches_the_golden_files)
+{
+    check_golden("text");
+    check_golden("json");
+    check_golden("html");
+}
+
+// Guards against a sample file that is read in part, and against one that cannot be read being
+// overwritten by --save.
+Test(report_command, refuses_and_keeps_files_it_cannot_read)
+{
+    const auto text = read(folder + "samples.json");
+    check_refused(text.substr(0, text.size() / 2), "parse error", "truncated");
+    check_refused("", "parse error", "truncated");
+    check_refused(R"({"format": "medlaryoke-samples", "version": 2})", "version 2",
+                  "release that wrote it");
+    check_refused("[1]", "not a sample file", "report --save");
+}
+
+// Guards against replies of an entry that the report does not understand, and against saved
+// samples that differ from those read.
+Test(report_command, saves_what_an_entry_reports)
+{
+    transport::runtime context(1);
+    transport::http_server server(
+        context, {.address = "127.0.0.1:0"}, [](const auto& request, const auto& response) {
+            const std::string body =
+                request.target == "/v1/samples"
+                    ? R"({"instance": "e", "incarnation": "0c", "time_unix_ms": 1700000700000,
+                          "samples": [{"priority": "urgent", "organisation": "o", "target": "g",
+                          "total": 1, "within_target": 1, "missed": {"queueing": 0, "upstream": 0,
+                          "refusal": 0, "unknown": 0}, "cancelled": 0}]})"
+                    : R"({"resources": [{"name": "urgent", "spec": {"attainment": 0.9}}]})";
+            response->respond({{200, {}}, body});
+        });
+    context.start();
+    const scratch_path file;
+    const auto saved = run({"--entry", server.address(), "--samples", folder + "samples.json",
+                            "--save", file.path, "--format", "json"});
+    cr_assert(saved.code == 0, "%s", saved.err.c_str());
+    cr_assert(saved.out.find("\"snapshots\": 3") != std::string::npos);
+    cr_assert(run({"--samples", file.path, "--format", "json"}).out == saved.out);
+    context.stop();
+}
