commands: Check the counts of samples and note what a report lacks

A count that is negative or does not add up was taken as it is. It is now refused with the file and the value. An entry that does not answer no longer hides the others: the report notes it and the command fails after writing. Notes also name long gaps between samples and missing targets.

--- a/Source/commands/report_command.cxx
+++ b/Source/commands/report_command.cxx
@@ -1,8 +1,10 @@
 #include "commands/report_command.h"
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <iostream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -26,29 +28,70 @@
 using policy::service_counter;
 
 constexpr int indent = 2;
+constexpr duration reply_timeout = std::chrono::seconds(5);
 constexpr double percent = 100;
 constexpr policy::burn_windows windows{};
 constexpr std::array views{std::pair{burn_view::priority, "priority"},
                            std::pair{burn_view::organisation, "organisation"},
                            std::pair{burn_view::target, "model group"}};
 
-sample_set collect(const report_options& options)
+/// What was collected, and the entries that did not answer.
+struct collection {
+    sample_set samples;
+    std::vector<error> missing;
+};
+
+void ask_entry(collection& result, const std::string& address)
 {
-    sample_set result;
+    operator_client client(address, reply_timeout);
+    try {
+        const auto targets = client.fetch({"GET", "/v1/resources/priority", {}, {}});
+        const auto samples = client.fetch({"GET", "/v1/samples", {}, {}});
+        result.samples.merge(
+            {parse_attainments(targets, address), {parse_samples(samples, address)}});
+    }
+    catch (const error& e) {
+        if (e.kind() != error_kind::unavailable) {
+            throw;
+        }
+        result.missing.push_back(e);
+    }
+}
+
+collection collect(const report_options& options)
+{
+    collection result;
     for (const auto& it : options.samples) {
-        result.merge(read_sample_file(it));
+        result.samples.merge(read_sample_file(it));
     }
     std::error_code ec;
     const auto kind = options.save.empty() ? std::filesystem::file_type::not_found
                                            : std::filesystem::status(options.save, ec).type();
     if (kind != std::filesystem::file_type::not_found) {
-        result.merge(read_sample_file(options.save));
+        result.samples.merge(read_sample_file(options.save));
     }
     for (const auto& it : options.entries) {
-        operator_client client(it);
-        const auto targets = client.fetch({"GET", "/v1/resources/priority", {}, {}});
-        const auto samples = client.fetch({"GET", "/v1/samples", {}, {}});
-        result.merge({parse_attainments(targets, it), {parse_samples(samples, it)}});
+        ask_entry(result, it);
+    }
+    if (!result.missing.empty() && result.samples.snapshots.empty()) {
+        throw result.missing.front();
+    }
+    return result;
+}
+
+/// @return what a reader must know to trust the figures
+std::vector<std::string> make_notices(const policy::burn_rate& burn)
+{
+    std::vector<std::string> result;
+    for (const auto& it : burn.gaps_longer_than(windows.short_window)) {
+        const auto length = std::chrono::duration_cast<std::chrono::seconds>(it.to - it.from);
+        result.push_back(fmt::format("{}: no sample for {} s; requests are spread over that time",
+                                     it.instance, length.count()));
+    }
+    for (const auto& it : burn.table(burn_view::priority, windows)) {
+        if (it.period.sums.total() > 0 && !it.target()) {
+            result.push_back(fmt::format("priority {}: no target is known", it.name));
+        }
     }
     return result;
 }
@@ -63,12 +106,15 @@
     return value ? fmt::format("{:.2f}", *value) : "-";
 }
 
-void write_text(const policy::burn_rate& burn)
+void write_text(const policy::burn_rate& burn, const std::vector<std::string>& notices)
 {
     std::cout << fmt::format(
         "{} snapshots over {} s, {} restarts, {} resets\n", burn.snapshots(),
         std::chrono::duration_cast<std::chrono::seconds>(burn.last() - burn.first()).count(),
         burn.restarts(), burn.resets());
+    for (const auto& it : notices) {
+        std::cout << "note: " << it << '\n';
+    }
     constexpr const char* line = "{:<20} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>9} {:>9} {:>9} "
                                  "{:>9}\n";
     for (const auto& [view, title] : views) {
@@ -114,11 +160,12 @@
             {"cancelled", sums[service_counter::cancelled]}};
 }
 
-void write_json(const policy::burn_rate& burn)
+void write_json(const policy::burn_rate& burn, const std::vector<std::string>& notices)
 {
     json body{{"first_unix_ms", burn.first().time_since_epoch().count()},
               {"last_unix_ms", burn.last().time_since_epoch().count()},
               {"snapshots", burn.snapshots()},
+              {"notes", notices},
               {"restarts", burn.restarts()},
               {"resets", burn.resets()}};
     for (const auto& [view, title] : views) {
@@ -154,19 +201,28 @@
         throw error(error_kind::invalid_argument, "report: neither --entry nor --samples is given",
                     "Name an entry or a sample file.");
     }
-    auto samples = collect(options);
+    auto [samples, missing] = collect(options);
     if (!options.save.empty()) {
         write_sample_file(options.save, samples);
     }
     const policy::burn_rate burn(std::move(samples.snapshots), std::move(samples.attainments));
+    auto notices = make_notices(burn);
+    std::ranges::transform(missing, std::back_inserter(notices),
+                           [](const error& it) { return std::string(it.what()); });
     if (options.format == "json") {
-        write_json(burn);
+        write_json(burn, notices);
     }
     else if (options.format == "html") {
-        std::cout << make_report_page(burn, windows);
+        std::cout << make_report_page(burn, windows, notices);
     }
     else {
-        write_text(burn);
+        write_text(burn, notices);
+    }
+    if (!missing.empty()) {
+        throw error(
+            error_kind::unavailable,
+            fmt::format("{} of {} entries did not answer", missing.size(), options.entries.size()),
+            missing.front().remedy());
     }
 }
 
--- a/Source/commands/report_command.h
+++ b/Source/commands/report_command.h
@@ -23,7 +23,8 @@
     /// @param app the command line
     static void add_to(CLI::App& app);
 
-    /// Collects samples, saves them if asked to, and writes the report to standard output.
+    /// Collects samples, saves them if asked to, and writes the report to standard output. An entry
+    /// that does not answer is noted in the report, and leads to an error once it is written.
     /// @param options what to read and how to write it
     /// @throws error if a file or an entry cannot be read; a file to save to is then unchanged
     static void run(const report_options& options);
--- a/Source/commands/report_page.cxx
+++ b/Source/commands/report_page.cxx
@@ -143,11 +143,15 @@
 
 } // namespace
 
-std::string make_report_page(const policy::burn_rate& burn, const policy::burn_windows& windows)
+std::string make_report_page(const policy::burn_rate& burn, const policy::burn_windows& windows,
+                             const std::vector<std::string>& notices)
 {
     std::string text(head);
     text += fmt::format("<p>{} snapshots, {} restarts, {} resets</p>\n", burn.snapshots(),
                         burn.restarts(), burn.resets());
+    for (const auto& it : notices) {
+        text += fmt::format("<p>Note: {}</p>\n", escape(it));
+    }
     const auto priorities = burn.table(burn_view::priority, windows);
     text += make_table(priorities, "priority");
     text += "<h3>Burn rate over the short window</h3>\n";
--- a/Source/commands/report_page.h
+++ b/Source/commands/report_page.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "policy/burn_rate.h"
 
@@ -8,7 +9,9 @@
 
 /// @param burn the samples
 /// @param windows lengths of the windows
+/// @param notices shown above the tables
 /// @return a self-contained HTML page with the tables, and plots as inline SVG
-std::string make_report_page(const policy::burn_rate& burn, const policy::burn_windows& windows);
+std::string make_report_page(const policy::burn_rate& burn, const policy::burn_windows& windows,
+                             const std::vector<std::string>& notices);
 
 } // namespace medlaryoke::commands
--- a/Source/commands/sample_file.cxx
+++ b/Source/commands/sample_file.cxx
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iterator>
+#include <stdexcept>
 #include <utility>
 
 #include <fmt/format.h>
@@ -12,6 +13,7 @@
 #include <unistd.h>
 
 #include "base/error.h"
+#include "policy/bounded_json.h"
 
 namespace medlaryoke::commands {
 
@@ -27,6 +29,23 @@
 constexpr std::size_t first_cause = 1;
 constexpr std::size_t cancelled_index = 5;
 
+/// Latest time accepted, in the year 5138; keeps differences of times in range.
+constexpr std::uint64_t max_unix_ms = 100'000'000'000'000;
+
+std::domain_error wrong_value(const char* key, const json& value, const char* expected)
+{
+    return std::domain_error(fmt::format("{}: {} instead of {}", key, value.dump(), expected));
+}
+
+std::uint64_t read_count(const json& object, const char* key, std::uint64_t highest)
+{
+    const auto& value = object.at(key);
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > highest) {
+        throw wrong_value(key, value, "a number of requests or a time");
+    }
+    return value.get<std::uint64_t>();
+}
+
 bool is_miss(std::size_t counter)
 {
     return counter >= first_cause && counter < cancelled_index;
@@ -34,16 +53,21 @@
 
 counter_snapshot to_snapshot(const json& body)
 {
+    /// About 3 million requests/s for a century.
+    constexpr std::uint64_t max_count = max_unix_ms * 100;
+    const std::chrono::milliseconds time(read_count(body, "time_unix_ms", max_unix_ms));
     counter_snapshot result{
-        body.at("instance"),
-        body.at("incarnation"),
-        policy::sample_time(std::chrono::milliseconds(body.at("time_unix_ms").get<long>())),
-        {}};
+        body.at("instance"), body.at("incarnation"), policy::sample_time(time), {}};
     for (const auto& it : body.at("samples")) {
         auto& values = result.samples[{it.at("priority"), it.at("organisation"), it.at("target")}];
+        std::uint64_t sum = 0;
         for (std::size_t i = 0; i < values.size(); ++i) {
-            const auto& object = is_miss(i) ? it.at("missed") : it;
-            values.at(i) = object.at(counter_names.at(i)).get<std::uint64_t>();
+            values.at(i) =
+                read_count(is_miss(i) ? it.at("missed") : it, counter_names.at(i), max_count);
+            sum += i == cancelled_index ? 0 : values.at(i);
+        }
+        if (it.at("total") != sum) {
+            throw wrong_value("total", it.at("total"), "the sum of the results");
         }
     }
     return result;
@@ -74,7 +98,12 @@
 {
     std::map<std::string, double> result;
     for (const auto& it : resources) {
-        result[it.at("name").get<std::string>()] = it.at("spec").at("attainment").get<double>();
+        const auto& value = it.at("spec").at("attainment");
+        const auto attainment = value.get<double>();
+        if (!(attainment >= 0 && attainment <= 1)) {
+            throw wrong_value("attainment", value, "0 to 1");
+        }
+        result[it.at("name").get<std::string>()] = attainment;
     }
     return result;
 }
@@ -84,11 +113,14 @@
 auto parse(const std::string& text, const std::string& place, const char* remedy, Read read)
 {
     try {
-        return read(json::parse(text));
+        return read(policy::parse_bounded(text));
     }
     catch (const json::exception& e) {
         throw error(error_kind::invalid_argument, fmt::format("{}: {}", place, e.what()), remedy);
     }
+    catch (const std::domain_error& e) {
+        throw error(error_kind::invalid_argument, fmt::format("{}: {}", place, e.what()), remedy);
+    }
 }
 
 constexpr const char* wrong_listener = "Check that the address is the operator listener of an "
--- a/Tests/commands/test_report_command.cxx
+++ b/Tests/commands/test_report_command.cxx
@@ -117,11 +117,15 @@
     check_refused("", "parse error", "truncated");
     check_refused(R"({"format": "medlaryoke-samples", "version": 2})", "version 2",
                   "release that wrote it");
+    auto changed = text;
+    check_refused(changed.replace(text.find("1000,"), 4, "1001"), "total: 1001", "damaged");
+    changed = text;
+    check_refused(changed.replace(text.find("995"), 3, "-95"), "within_target: -95", "damaged");
     check_refused("[1]", "not a sample file", "report --save");
 }
 
-// Guards against replies of an entry that the report does not understand, and against saved
-// samples that differ from those read.
+// Guards against replies of an entry that the report does not understand, against saved
+// samples that differ from those read, and against an entry that is left out unsaid.
 Test(report_command, saves_what_an_entry_reports)
 {
     transport::runtime context(1);
@@ -143,5 +147,10 @@
     cr_assert(saved.code == 0, "%s", saved.err.c_str());
     cr_assert(saved.out.find("\"snapshots\": 3") != std::string::npos);
     cr_assert(run({"--samples", file.path, "--format", "json"}).out == saved.out);
+    const auto partial = run({"--entry", server.address(), "127.0.0.1:1", "--save", file.path});
+    cr_assert(partial.code == 1 && partial.err.find("1 of 2 entries") != std::string::npos);
+    cr_assert(partial.out.find("note: 127.0.0.1:1 did not answer") != std::string::npos);
     context.stop();
+    const auto none = run({"--entry", "127.0.0.1:1"});
+    cr_assert(none.code == 1 && none.out.empty());
 }
