policy: Keep optionals out of the assertions of the burn rate test

bugprone-unchecked-optional-access did not end on optionals within two assertions of one function; the lint of the file ran for ten minutes.

--- a/Tests/policy/test_burn_rate.cxx
+++ b/Tests/policy/test_burn_rate.cxx
@@ -154,6 +154,11 @@
     }
 };
 
+double rate_of(const burn_window& window)
+{
+    return window.rate().value_or(-1);
+}
+
 void check_row(const burn_row& row, naive_seconds& naive, std::int64_t end, std::uint64_t seed)
 {
     for (std::size_t i = 0; i < service_counters; ++i) {
@@ -162,11 +167,9 @@
                            naive.sum(row.name, counter, end - 30, end)) < tolerance,
                   "seed %lu, %s, counter %lu", seed, row.name.c_str(), i);
     }
-    cr_assert(std::abs(row.short_window.rate().value_or(-1) - naive.rate(row.name, end - 30, end)) <
-                  tolerance,
+    cr_assert(std::abs(rate_of(row.short_window) - naive.rate(row.name, end - 30, end)) < tolerance,
               "seed %lu", seed);
-    cr_assert(std::abs(row.long_window.rate().value_or(-1) - naive.rate(row.name, end - 200, end)) <
-                  tolerance,
+    cr_assert(std::abs(rate_of(row.long_window) - naive.rate(row.name, end - 200, end)) < tolerance,
               "seed %lu", seed);
 }
 
