--- a/Utilities/local_site.py
+++ b/Utilities/local_site.py
@@ -98,7 +98,7 @@
     """A deployment on loopback. Proxies, if given, stand between the processes to count bytes."""
 
     def __init__(self, preset, engines, services, entries, proxy=None, address_lifetime="100ms",
-                 slots=64):
+                 slots=64, share_engine=False, subset_size=24):
         self.build = REPOSITORY / "build" / preset
         self.binary = self.build / "Source" / "commands" / "medlaryoke"
         for it in (self.binary, self.build / "Tests" / "StandIns" / "standin_platform"):
@@ -109,6 +109,8 @@
         self.proxy = proxy or (lambda group, address: address)
         self.address_lifetime = address_lifetime
         self.slots = slots
+        self.share_engine = share_engine  # one stand-in behind all agents, for idle deployments
+        self.subset_size = subset_size
         self.stack = []  # in the order of starting
         self.agents = []  # (process, upstream, type, address for entries)
         self.entries = []  # (process, address for callers, for operators, for peers)
@@ -119,8 +121,9 @@
         engines, services, entries = self.counts
         self.platform = self.start_standin("platform", "standin_platform")
         for n in range(1, engines + 1):
-            address = self.start_standin(f"engine-{n}", "standin_engine", "--step-time", "2ms",
-                                         "--slots", str(self.slots))
+            if n == 1 or not self.share_engine:
+                address = self.start_standin(f"engine-{n}", "standin_engine", "--step-time", "2ms",
+                                             "--slots", str(self.slots))
             self.start_agent(f"engine-{n}", "assistant", "engine", address)
         for n in range(1, services + 1):
             address = self.start_standin(f"desk-{n}", "standin_service")
@@ -159,7 +162,8 @@
 
     def start_entry(self, name):
         lines = ["entry:", "  caller_address: 127.0.0.1:0", "  operator_address: 127.0.0.1:0",
-                 "  peer_address: 127.0.0.1:0", f"  address_lifetime: {self.address_lifetime}"]
+                 "  peer_address: 127.0.0.1:0", f"  address_lifetime: {self.address_lifetime}",
+                 f"  subset_size: {self.subset_size}"]
         if self.entries:
             lines.append(f"  peers: [{', '.join(repr(it[3]) for it in self.entries)}]")
         path = self.write_settings(name, "entries", lines)
@@ -200,20 +204,21 @@
     def wait_connected(self):
         """Waits until each entry is connected to all agents and to all other entries."""
         limit = time.monotonic() + START_TIMEOUT
-        while time.monotonic() < limit:
-            if all(self.is_connected(it) for it in self.entries):
-                return
+        while missing := [it for entry in self.entries for it in self.missing_links(entry)]:
+            if time.monotonic() > limit:
+                raise SiteError(f"not connected after {START_TIMEOUT} s: {', '.join(missing)}")
             time.sleep(0.1)
-        raise SiteError(f"not connected in {START_TIMEOUT} s; status of the first entry: "
-                        + request(self.entries[0][2], "GET", "/v1/status")[2])
 
-    def is_connected(self, entry):
+    def missing_links(self, entry):
+        """Returns what an entry is not connected to."""
+        name = entry[0].name
         state = fetch_json(entry[2], "GET", "/v1/status")
         own = {it[1] for it in self.agents}
         up = {it["upstream"] for it in state["links"]
               if it["state"] == "connected" and it["upstream_up"]}
-        live = [it for it in state["peers"] if it["state"] == "live"]
-        return own <= up and len(live) + 1 == len(self.entries)
+        live = {it["instance"] for it in state["peers"] if it["state"] == "live"}
+        peers = {it[0].name for it in self.entries} - {name}
+        return [f"{name} to {it}" for it in sorted((own - up) | (peers - live))]
 
     def call(self, target, body, headers=None):
         """Sends one request of the sample caller to the first entry."""
