transport: Resolve the remaining lint findings

Cause: the first lint run over the whole merged tree found a parameter copied in log_client and a string length in the session test. Change: the address is passed by reference; the bytes are a string literal. Conclusion: no change of behaviour.

--- a/Source/transport/log_client.cxx
+++ b/Source/transport/log_client.cxx
@@ -123,8 +123,8 @@
 
 class log_client::implementation {
 public:
-    implementation(runtime& context, std::string address, duration limit)
-        : client(context, std::move(address)), request_timeout(limit)
+    implementation(runtime& context, const std::string& address, duration limit)
+        : client(context, address), request_timeout(limit)
     {
     }
 
@@ -132,8 +132,8 @@
     duration request_timeout;
 };
 
-log_client::log_client(runtime& context, std::string address, duration request_timeout)
-    : impl_(std::make_unique<implementation>(context, std::move(address), request_timeout))
+log_client::log_client(runtime& context, const std::string& address, duration request_timeout)
+    : impl_(std::make_unique<implementation>(context, address, request_timeout))
 {
 }
 
--- a/Source/transport/log_client.h
+++ b/Source/transport/log_client.h
@@ -15,7 +15,7 @@
     /// @param context runs the exchanges and the callbacks
     /// @param address IP address and port of the log service
     /// @param request_timeout longest wait for an answer; a read may wait longer by its own time
-    log_client(runtime& context, std::string address, duration request_timeout);
+    log_client(runtime& context, const std::string& address, duration request_timeout);
     log_client(const log_client&) = delete;
     log_client& operator=(const log_client&) = delete;
     log_client(log_client&&) = delete;
--- a/Tests/Session/test_session.cxx
+++ b/Tests/Session/test_session.cxx
@@ -17,6 +17,7 @@
 #include "fakes/raw_socket.h"
 #include "Session/session_site.h"
 
+using namespace std::string_literals;
 using namespace medlaryoke;
 using nlohmann::json;
 using session::http_header;
@@ -152,8 +153,7 @@
     site.configure();
     const auto& entry = site.entries()[0];
     for (const auto& bytes :
-         {std::string("\0\xff\x16\x03\x01 garbage\r\n\r\n", 17),
-          std::string("GET / HTTP/9.9\r\n\r\n"),
+         {"\0\xff\x16\x03\x01 garbage\r\n\r\n"s, std::string("GET / HTTP/9.9\r\n\r\n"),
           "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'x') + "\r\n\r\n",
           std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"),
           std::string("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 10\r\n\r\n{")}) {
