queue: Keep the last slots for urgent work in the dispatcher

Cause: the dispatcher did not use room_left() and the reserve that measure_floods and measure_overload are measured with, and the agent queued eight requests where two were measured. Found while comparing docs/measurements.md with target_queue. Change: the dispatcher asks the selector for the room left, pops with it and lets only urgent work take the reserve; reported queues reach the selector; the agent's queue holds two. Conclusion: the product now takes the decisions that were measured.

--- a/Source/controllers/agent_admission.h
+++ b/Source/controllers/agent_admission.h
@@ -14,9 +14,9 @@
 struct agent_admission_options {
     unsigned initial_limit = 16;
     unsigned max_limit = 256;
-    /// Requests that wait at the agent; long enough to refill a slot while the next dispatch is on
-    /// its way, short enough that the entries keep the choice of what runs next.
-    std::size_t max_queue = 8;
+    /// Requests that wait at the agent. Entries dispatch into free slots, so it only absorbs the
+    /// collisions of several entries; the entries keep the choice of what runs next.
+    std::size_t max_queue = 2;
 };
 
 /// What came of an offer to run a request.
--- a/Source/controllers/target_queue.cxx
+++ b/Source/controllers/target_queue.cxx
@@ -28,6 +28,7 @@
         candidate.available =
             !it.leaving && view.connected && view.load.upstream_up() && !view.load.leaving();
         candidate.reported_load = view.load.running() + view.load.queued();
+        candidate.reported_queued = view.load.queued();
         candidate.dispatched_since = view.dispatched_since_report;
         candidate.limit = view.load.limit();
         candidate.first_token_latency = std::chrono::microseconds(view.load.latency_us());
@@ -165,10 +166,11 @@
 {
     auto in_rotation = candidates;
     this->mark_ejected(in_rotation);
-    if (std::ranges::none_of(in_rotation, has_room)) {
+    const auto left = this->selector_.room_left(in_rotation);
+    if (!left) {
         return std::nullopt;
     }
-    auto request = this->pop(now);
+    auto request = this->pop(now, *left);
     if (request == nullptr) {
         return std::nullopt;
     }
@@ -177,7 +179,7 @@
     if (const auto probed = this->choose_probe(*request, candidates, now)) {
         return assignment{std::move(request), *probed};
     }
-    const auto upstream = this->choose(*request, upstreams, std::move(in_rotation), now);
+    const auto upstream = this->choose(*request, upstreams, std::move(in_rotation), *left, now);
     return assignment{std::move(request), upstream};
 }
 
@@ -206,10 +208,10 @@
     return std::nullopt;
 }
 
-target_queue::request_pointer target_queue::pop(time_point now)
+target_queue::request_pointer target_queue::pop(time_point now, policy::room left)
 {
     while (true) {
-        const auto item = this->queue_.pop(now);
+        const auto item = this->queue_.pop(now, left);
         if (!item.has_value()) {
             return nullptr;
         }
@@ -221,7 +223,7 @@
 
 std::size_t target_queue::choose(const pending_request& request,
                                  const std::vector<dispatch_target>& upstreams,
-                                 candidate_list candidates, time_point now)
+                                 candidate_list candidates, policy::room left, time_point now)
 {
     const auto& work = request.request();
     const auto was_tried = [&request](const dispatch_target& upstream) {
@@ -240,7 +242,8 @@
     policy::request_features features;
     features.prefix_hashes = work.prefix_hashes;
     features.cost = work.cost;
-    // The selector may keep some room free; what was taken from the queue still has to go.
+    features.may_use_reserve = left == policy::room::scarce;
+    // If only upstreams that were tried have room beyond the reserve, the request still has to go.
     return this->selector_.choose(candidates, features, now)
         .value_or(choose_by_key(candidates, work.idempotency_key));
 }
--- a/Tests/controllers/test_request_dispatcher.cxx
+++ b/Tests/controllers/test_request_dispatcher.cxx
@@ -38,13 +38,15 @@
             "assistant", {{"engine-1", this->first, first_leaving}, {"engine-2", this->second}});
     }
 
-    std::shared_ptr<fake_response_stream> submit(bool idempotent = true, bool stream = false)
+    std::shared_ptr<fake_response_stream> submit(bool idempotent = true, bool stream = false,
+                                                 unsigned priority = 0)
     {
         controllers::work_request work;
         work.request_id = "req-" + std::to_string(++this->submitted);
         work.target = "assistant";
         work.stream = stream;
         work.idempotent = idempotent;
+        work.priority_order = priority;
         work.idempotency_key = "key";
         work.deadline = this->clock.now() + 10s;
         work.first_token_target = 1s;
@@ -128,6 +130,24 @@
     cr_assert(f.call_count() == 2, "a stream that has begun must not be run again");
 }
 
+// Guards against a batch flood that fills every slot, so that urgent work has to wait for one.
+Test(request_dispatcher, last_slots_are_kept_for_urgent_work)
+{
+    fixture f;
+    f.dispatcher.set_priorities({{.order = 0}, {.order = 2}});
+    for (const auto& link : {f.first, f.second}) {
+        link->state.load.set_limit(16);
+        link->state.load.set_running(14);
+    }
+    f.submit(true, false, 2);
+    cr_assert(f.call_count() == 0, "batch work took a reserved slot");
+    f.submit(true, false, 0);
+    cr_assert(f.call_count() == 1);
+    f.first->state.load.set_running(2);
+    f.dispatcher.on_room("assistant");
+    cr_assert(f.call_count() == 2, "batch work waits although there is room");
+}
+
 // Guards against answers that reach another caller when they come in another order (P2).
 Test(request_dispatcher, crossed_answers_reach_their_callers)
 {
