base: Write JSON text in one place

Cause: a read of the whole change found the same call of nlohmann::json::dump with the replacement of damaged UTF-8 in 12 places, two of them with a local to_text; two command tests captured the output of the command line with the same code; rebalance_costs had a step_time that nothing read. Change: to_json_text in base serves all of them; command_runner serves both tests; the unused field is gone.

--- a/Source/base/logging.cxx
+++ b/Source/base/logging.cxx
@@ -6,6 +6,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "base/json_text.h"
+
 namespace medlaryoke {
 
 namespace {
@@ -62,13 +64,9 @@
         current.sink->log(target, "{} {}: {}", current.instance, this->part_, message);
         return;
     }
-    const auto quote = [](std::string_view text) {
-        constexpr int no_indent = -1;
-        return nlohmann::json(text).dump(no_indent, ' ', false,
-                                         nlohmann::json::error_handler_t::replace);
-    };
-    current.sink->log(target, R"("instance":{},"part":{},"message":{})", quote(current.instance),
-                      quote(this->part_), quote(message));
+    current.sink->log(target, R"("instance":{},"part":{},"message":{})",
+                      to_json_text(current.instance), to_json_text(this->part_),
+                      to_json_text(message));
 }
 
 } // namespace medlaryoke
--- a/Source/controllers/handover_api.cxx
+++ b/Source/controllers/handover_api.cxx
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "base/text_rules.h"
 #include "model/json_document.h"
 #include "transport/error_response.h"
@@ -31,11 +32,6 @@
     return owner == work_owner::old_router ? "old" : "new";
 }
 
-std::string to_text(const json& value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 json describe(const std::string& work_id, work_owner owner, policy::work_state state,
               std::uint64_t version)
 {
@@ -110,7 +106,7 @@
     {
         this->response.respond(transport::make_json_response(
             status_ok,
-            to_text(describe(this->work_id, result.owner, result.state, result.version))));
+            to_json_text(describe(this->work_id, result.owner, result.state, result.version))));
     }
 
     void operator()(const policy::handover_refused& result) const
@@ -161,7 +157,7 @@
     if (item->state == policy::work_state::completed && !item->content.empty()) {
         body["result"] = json::parse(item->content);
     }
-    response.respond(transport::make_json_response(status_ok, to_text(body)));
+    response.respond(transport::make_json_response(status_ok, to_json_text(body)));
 }
 
 } // namespace
--- a/Source/controllers/handover_controller.cxx
+++ b/Source/controllers/handover_controller.cxx
@@ -12,6 +12,7 @@
 
 #include "base/digest.h"
 #include "base/identifiers.h"
+#include "base/json_text.h"
 #include "base/logging.h"
 
 namespace medlaryoke::controllers {
@@ -287,8 +288,7 @@
     void on_executed(const std::string& id, const handover_work& item, const work_unknown& result)
     {
         const nlohmann::json content{{"outcome", "unknown"}, {"reason", result.reason}};
-        this->close(id, item, handover_action::complete,
-                    content.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+        this->close(id, item, handover_action::complete, to_json_text(content));
     }
 
     void on_executed(const std::string& id, const handover_work& item, const work_not_run& result)
--- a/Source/controllers/outcome.cxx
+++ b/Source/controllers/outcome.cxx
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace medlaryoke::controllers {
 
 std::string_view to_string(outcome value)
@@ -26,7 +28,7 @@
                                 {"remedy", failure.remedy},
                                 {"request_id", request_id}}}};
     // Messages may quote bytes of the request that are not valid UTF-8.
-    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return to_json_text(body);
 }
 
 transport::http_response make_failure_response(const request_failure& failure,
--- a/Source/controllers/resource_api.cxx
+++ b/Source/controllers/resource_api.cxx
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "controllers/resource_change.h"
 #include "controllers/resource_watch.h"
 #include "model/resource_text.h"
@@ -48,11 +49,6 @@
             {"spec", json::parse(entry.spec)}};
 }
 
-std::string to_text(const json& value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 transport::http_header version_header(std::uint64_t version)
 {
     return {"ETag", fmt::format("\"{}\"", version)};
@@ -161,7 +157,8 @@
         }
         if (path[1] == "config") {
             require_method(request, "GET");
-            response->respond(transport::make_json_response(status_ok, to_text(this->offsets())));
+            response->respond(
+                transport::make_json_response(status_ok, to_json_text(this->offsets())));
             return true;
         }
         if (path[1] == "watch") {
@@ -220,7 +217,7 @@
                 body["resources"].push_back(describe(key, *entry));
             }
         }
-        response->respond(transport::make_json_response(status_ok, to_text(body)));
+        response->respond(transport::make_json_response(status_ok, to_json_text(body)));
     }
 
     void get(const policy::resource_key& key, const response_ptr& response) const
@@ -232,7 +229,8 @@
                         fmt::format("{} \"{}\" does not exist", key.first, key.second),
                         fmt::format("List the names at /v1/resources/{}.", key.first));
         }
-        auto reply = transport::make_json_response(status_ok, to_text(describe(key, *it->second)));
+        auto reply =
+            transport::make_json_response(status_ok, to_json_text(describe(key, *it->second)));
         reply.head.headers.push_back(version_header(it->second->version));
         response->respond(std::move(reply));
     }
@@ -251,10 +249,10 @@
     {
         const auto confirmed = this->confirmed_offset_();
         auto reply = transport::make_json_response(
-            status_ok, to_text({{"version", result.version},
-                                {"operation_id", id},
-                                {"in_force", confirmed >= result.version},
-                                {"confirmed_offset", confirmed}}));
+            status_ok, to_json_text({{"version", result.version},
+                                     {"operation_id", id},
+                                     {"in_force", confirmed >= result.version},
+                                     {"confirmed_offset", confirmed}}));
         reply.head.headers.push_back(version_header(result.version));
         response.respond(std::move(reply));
     }
--- a/Source/controllers/resource_watch.cxx
+++ b/Source/controllers/resource_watch.cxx
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "policy/config_ledger.h"
 
 namespace medlaryoke::controllers {
@@ -26,8 +27,7 @@
 
 std::string make_event(std::uint64_t id, std::string_view type, const json& data)
 {
-    return fmt::format("id: {}\nevent: {}\ndata: {}\n\n", id, type,
-                       data.dump(-1, ' ', false, json::error_handler_t::replace));
+    return fmt::format("id: {}\nevent: {}\ndata: {}\n\n", id, type, to_json_text(data));
 }
 
 /// @return events after a version, in order of their versions
--- a/Source/controllers/upstream_runner.cxx
+++ b/Source/controllers/upstream_runner.cxx
@@ -10,6 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace medlaryoke::controllers {
 
 namespace {
@@ -35,7 +37,7 @@
         return std::nullopt;
     }
     json["priority"] = priority;
-    return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return to_json_text(json);
 }
 
 class http_call final : public upstream_call {
--- a/Source/filters/handover_executor.cxx
+++ b/Source/filters/handover_executor.cxx
@@ -15,6 +15,7 @@
 #include "base/document_fields.h"
 #include "base/error.h"
 #include "base/identifiers.h"
+#include "base/json_text.h"
 #include "controllers/outcome.h"
 #include "filters/deadline_filter.h"
 #include "filters/idempotency_filter.h"
@@ -130,7 +131,7 @@
             result["body_bytes"] = this->body_.size();
             result["body_sha256"] = sha256_hex(this->body_);
         }
-        return controllers::work_done{result.dump(-1, ' ', false, json::error_handler_t::replace)};
+        return controllers::work_done{to_json_text(result)};
     }
 
     std::function<void(work_result)> done_;
--- a/Source/policy/config_ledger.cxx
+++ b/Source/policy/config_ledger.cxx
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "model/resource_check.h"
 #include "model/resource_text.h"
 #include "policy/bounded_json.h"
@@ -242,7 +243,7 @@
                       {"resources", std::move(resources)},
                       {"operations", std::move(operations)},
                       {"deletions", std::move(deletions)}};
-    return object.dump(-1, ' ', false, json::error_handler_t::replace);
+    return to_json_text(object);
 }
 
 config_ledger config_ledger::from_snapshot(std::string_view data)
--- a/Source/policy/config_record.cxx
+++ b/Source/policy/config_record.cxx
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
 #include "policy/bounded_json.h"
 #include "policy/config_ledger.h"
 
@@ -12,8 +13,6 @@
 
 using json = nlohmann::json;
 
-constexpr auto replace_damaged = json::error_handler_t::replace;
-
 json item_to_json(const change_item& item)
 {
     json object{{"kind", item.key.first},
@@ -79,13 +78,13 @@
                        {{"operation_id", record.operation_id},
                         {"author", record.author},
                         {"items", std::move(items)}}}};
-    return object.dump(-1, ' ', false, replace_damaged);
+    return to_json_text(object);
 }
 
 std::string encode_record(const change_cancel& record)
 {
     const json object{{"config_cancel", {{"operation_id", record.operation_id}}}};
-    return object.dump(-1, ' ', false, replace_damaged);
+    return to_json_text(object);
 }
 
 std::string encode_record(const snapshot_chunk& record)
@@ -96,7 +95,7 @@
                         {"index", record.index},
                         {"count", record.count},
                         {"data", record.data}}}};
-    return object.dump(-1, ' ', false, replace_damaged);
+    return to_json_text(object);
 }
 
 config_record decode_record(std::string_view data)
--- a/Source/policy/handover_ledger.cxx
+++ b/Source/policy/handover_ledger.cxx
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/error.h"
+#include "base/json_text.h"
 #include "policy/bounded_json.h"
 
 namespace medlaryoke::policy {
@@ -66,7 +67,7 @@
         object["previous_start"] = record.previous_start;
     }
     const json outer{{"handover", std::move(object)}};
-    return outer.dump(-1, ' ', false, json::error_handler_t::replace);
+    return to_json_text(outer);
 }
 
 std::optional<handover_record> decode_handover(std::string_view data)
--- a/Source/policy/rebalance_decision.h
+++ b/Source/policy/rebalance_decision.h
@@ -12,7 +12,6 @@
 
 /// What a switch of maps costs and what an even load is worth.
 struct rebalance_costs {
-    duration step_time{};              ///< time of a step at the mean load of a rank
     double expert_part = 0.5;          ///< part of the step time spent in expert layers, 0 to 1
     double bytes_per_expert = 0;       ///< weights of one expert in one layer
     double store_bytes_per_second = 0; ///< rate of the weight store for the group
--- a/Source/transport/error_response.cxx
+++ b/Source/transport/error_response.cxx
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json_text.h"
+
 namespace medlaryoke::transport {
 
 http_response make_error_response(const error& failure, std::string_view outcome)
@@ -13,11 +15,8 @@
                                 {"message", failure.what()},
                                 {"remedy", failure.remedy()}}},
                               {"outcome", outcome}};
-    constexpr int no_indent = -1;
     // A message may quote bytes of a request that are not valid UTF-8.
-    auto response = make_json_response(
-        http_status(failure.kind()),
-        body.dump(no_indent, ' ', false, nlohmann::json::error_handler_t::replace));
+    auto response = make_json_response(http_status(failure.kind()), to_json_text(body));
     response.head.headers.push_back({"Medlaryoke-Outcome", std::string(outcome)});
     return response;
 }
--- a/Tests/Measurements/measure_placement.cxx
+++ b/Tests/Measurements/measure_placement.cxx
@@ -133,8 +133,7 @@
     std::vector<outcome> outcomes{{.name = "never", .layers = initial},
                                   {.name = "repack", .layers = initial},
                                   {.name = "rebalance_decision", .layers = initial}};
-    rebalance_decision decision({.step_time = 25ms,
-                                 .expert_part = 0.5,
+    rebalance_decision decision({.expert_part = 0.5,
                                  .bytes_per_expert = 40e6,
                                  .store_bytes_per_second = 2e9,
                                  .load_slowdown = 0.02,
--- a/Tests/commands/test_config_commands.cxx
+++ b/Tests/commands/test_config_commands.cxx
@@ -2,9 +2,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
-#include <iostream>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <unistd.h>
@@ -13,7 +11,7 @@
 #include <criterion/criterion.h>
 #include <fmt/format.h>
 
-#include "commands/command_line.h"
+#include "commands/command_runner.h"
 #include "controllers/config_feed.h"
 #include "controllers/resource_api.h"
 #include "StandIns/platform_standin.h"
@@ -24,6 +22,7 @@
 
 using namespace std::chrono_literals;
 using namespace medlaryoke;
+using tests::run_command;
 
 namespace {
 
@@ -77,31 +76,6 @@
     }
 };
 
-struct command_result {
-    int code = 0;
-    std::string out;
-    std::string err;
-};
-
-/// Runs the command line of the product in this process.
-command_result run(std::vector<std::string> arguments)
-{
-    arguments.insert(arguments.begin(), "medlaryoke");
-    std::vector<char*> argv;
-    argv.reserve(arguments.size());
-    for (auto& it : arguments) {
-        argv.push_back(it.data());
-    }
-    std::ostringstream out;
-    std::ostringstream err;
-    auto* old_out = std::cout.rdbuf(out.rdbuf());
-    auto* old_err = std::cerr.rdbuf(err.rdbuf());
-    const auto code = commands::run_command_line(static_cast<int>(argv.size()), argv.data());
-    std::cout.rdbuf(old_out);
-    std::cerr.rdbuf(old_err);
-    return {code, out.str(), err.str()};
-}
-
 /// A file that goes away with the object.
 class scratch_file {
 public:
@@ -132,28 +106,28 @@
     config_entry entry;
     const auto address = entry.server->address();
     const scratch_file group(group_text);
-    const auto applied =
-        run({"apply", "--entry", address, "--author", "anna", "--wait-in-force", group.path});
+    const auto applied = run_command(
+        {"apply", "--entry", address, "--author", "anna", "--wait-in-force", group.path});
     cr_assert(applied.code == 0, "%s", applied.err.c_str());
     cr_assert(applied.out.starts_with("version 1 accepted: 1 of 1 resources changed\n"
                                       "version 1 is in force after "));
-    const auto again = run({"apply", "--entry", address, group.path});
+    const auto again = run_command({"apply", "--entry", address, group.path});
     cr_assert(again.code == 0 && again.out == "1 resources are already as wanted\n");
-    const auto shown = run({"get", "--entry", address, "model_group", "g"});
+    const auto shown = run_command({"get", "--entry", address, "model_group", "g"});
     cr_assert(shown.code == 0);
     cr_assert(shown.out ==
                   "# version 1 by anna\nkind: model_group\nname: g\nspec:\n  model: \"m\"\n"
                   "  ranks: 2\n  experts_per_layer: 0\n  layers: 0\n",
               "%s", shown.out.c_str());
     const scratch_file copy(shown.out);
-    cr_assert(run({"apply", "--entry", address, copy.path}).out == again.out);
-    const auto all = run({"get", "--entry", address, "model_group", "--json"});
+    cr_assert(run_command({"apply", "--entry", address, copy.path}).out == again.out);
+    const auto all = run_command({"get", "--entry", address, "model_group", "--json"});
     cr_assert(all.code == 0 && all.out.find("\"offset\": 1") != std::string::npos);
-    const auto missing = run({"get", "--entry", address, "priority", "x"});
+    const auto missing = run_command({"get", "--entry", address, "priority", "x"});
     cr_assert(missing.code == 1 && missing.out.empty());
     cr_assert(missing.err.find("priority \"x\" does not exist") != std::string::npos);
-    cr_assert(run({"get", "--entry", address, "colour"}).code == 2);
-    cr_assert(run({"get", "--entry", "localhost:1", "priority"}).code == 1);
+    cr_assert(run_command({"get", "--entry", address, "colour"}).code == 2);
+    cr_assert(run_command({"get", "--entry", "localhost:1", "priority"}).code == 1);
 }
 
 // Guards against a change that is reported as in force while an instance has not confirmed it.
@@ -162,8 +136,8 @@
     config_entry entry;
     entry.confirms = false;
     const scratch_file group(group_text);
-    const auto result = run({"apply", "--entry", entry.server->address(), "--wait-in-force",
-                             "--timeout", "300ms", group.path});
+    const auto result = run_command({"apply", "--entry", entry.server->address(), "--wait-in-force",
+                                     "--timeout", "300ms", group.path});
     cr_assert(result.code == 1);
     cr_assert(result.out == "version 1 accepted: 1 of 1 resources changed\n");
     cr_assert(result.err.find("waiting for version 1: in force everywhere up to 0") !=
@@ -184,7 +158,7 @@
     }
     const scratch_file group(group_text);
     const auto result =
-        run({"apply", "--entry", entry.server->address(), "--wait-in-force", group.path});
+        run_command({"apply", "--entry", entry.server->address(), "--wait-in-force", group.path});
     cr_assert(result.code == 0, "%s", result.err.c_str());
     cr_assert(entry.store.view()->offset == 1 && entry.store.view()->model_groups.size() == 1);
 }
@@ -194,7 +168,7 @@
 {
     config_entry entry;
     const scratch_file group(group_text);
-    run({"apply", "--entry", entry.server->address(), "--author", "anna", group.path});
+    run_command({"apply", "--entry", entry.server->address(), "--author", "anna", group.path});
     const auto address = entry.server->address();
     std::thread stop([&entry] {
         while (entry.server->open_connections() < 1) {
@@ -203,7 +177,7 @@
         std::this_thread::sleep_for(300ms);
         entry.server.reset();
     });
-    const auto result = run({"watch", "--entry", address});
+    const auto result = run_command({"watch", "--entry", address});
     stop.join();
     cr_assert(result.code == 1);
     cr_assert(result.out.starts_with("1 change {\"author\":\"anna\",\"kind\":\"model_group\""),
@@ -214,15 +188,16 @@
 Test(config_commands, check_names_each_problem)
 {
     const std::string samples = MEDLARYOKE_SOURCE_DIR "/Utilities/samples/";
-    const auto good = run({"check", samples + "oslo/resources.yaml", samples + "oslo/entry-1.yaml",
-                           samples + "oslo/agent-engine-01.yaml"});
+    const auto good =
+        run_command({"check", samples + "oslo/resources.yaml", samples + "oslo/entry-1.yaml",
+                     samples + "oslo/agent-engine-01.yaml"});
     cr_assert(good.code == 0, "%s", good.err.c_str());
     const scratch_file bad(group_text + "---\nkind: upstream\nname: e\nspec: {type: engine, "
                                         "serves: h, agent: '127.0.0.1:1', data_centre: d}\n");
-    const auto result = run({"check", bad.path});
+    const auto result = run_command({"check", bad.path});
     cr_assert(result.code == 1);
     cr_assert(result.err.find(bad.path + ":7: upstream \"e\": serves \"h\"") != std::string::npos,
               "%s", result.err.c_str());
-    cr_assert(run({"check"}).code == 2);
-    cr_assert(run({"check", "/no/such/file"}).code == 1);
+    cr_assert(run_command({"check"}).code == 2);
+    cr_assert(run_command({"check", "/no/such/file"}).code == 1);
 }
--- a/Tests/commands/test_report_command.cxx
+++ b/Tests/commands/test_report_command.cxx
@@ -2,47 +2,29 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <iostream>
 #include <iterator>
-#include <sstream>
 #include <string>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
 
-#include "commands/command_line.h"
+#include "commands/command_runner.h"
 #include "transport/http_server.h"
 #include "transport/runtime.h"
 
 using namespace medlaryoke;
+using tests::command_result;
 
 namespace {
 
 const std::string folder = MEDLARYOKE_SOURCE_DIR "/Tests/commands/";
 
-struct command_result {
-    int code = 0;
-    std::string out;
-    std::string err;
-};
-
 command_result run(std::vector<std::string> arguments)
 {
-    arguments.insert(arguments.begin(), {"medlaryoke", "report"});
-    std::vector<char*> argv;
-    argv.reserve(arguments.size());
-    for (auto& it : arguments) {
-        argv.push_back(it.data());
-    }
-    std::ostringstream out;
-    std::ostringstream err;
-    auto* old_out = std::cout.rdbuf(out.rdbuf());
-    auto* old_err = std::cerr.rdbuf(err.rdbuf());
-    const auto code = commands::run_command_line(static_cast<int>(argv.size()), argv.data());
-    std::cout.rdbuf(old_out);
-    std::cerr.rdbuf(old_err);
-    return {code, out.str(), err.str()};
+    arguments.insert(arguments.begin(), "report");
+    return tests::run_command(std::move(arguments));
 }
 
 std::string read(const std::string& path)
--- a/Tests/controllers/test_group_coordinator.cxx
+++ b/Tests/controllers/test_group_coordinator.cxx
@@ -53,8 +53,7 @@
         options.layers = 2;
         options.token_interval = 5s;
         options.recovery_stagger = n * 200ms;
-        options.costs = {.step_time = 25ms,
-                         .expert_part = 0.5,
+        options.costs = {.expert_part = 0.5,
                          .bytes_per_expert = 1e6,
                          .store_bytes_per_second = 2e9,
                          .load_slowdown = 0.02,
--- a/Tests/policy/test_expert_placement.cxx
+++ b/Tests/policy/test_expert_placement.cxx
@@ -95,8 +95,7 @@
 
 rebalance_costs cheap_costs()
 {
-    return {.step_time = 25ms,
-            .expert_part = 0.5,
+    return {.expert_part = 0.5,
             .bytes_per_expert = 40e6,
             .store_bytes_per_second = 2e9,
             .load_slowdown = 0.02,
