gateway: Serve the users' platform with one process on each edge machine

Cause: nothing spoke the platform's protocol; the request path ran through agents that its callers and engines do not know.

Change: `medlaryoke gateway` forwards by host and longest prefix straight to upstreams over HTTP, follows configuration and upstreams in the store, and exchanges beats with the other gateways over UDP. platform/ decodes the platform's names and formats into the product's types. Decisions are pure classes in Source/policy: upstream_scheduler, pace_limit, waiting_policy, attempt_budget, keyed_topic, upstream_registry, peer_table.

http_server: refuses an unknown Transfer-Encoding (its body was read as a next request), both framings at once, and a missing or second Host with 400; a header over the limit gets 431 instead of 413; a request that arrives too slowly gets 408 instead of 504, since it has not run. The tests that stated 413 and 504 now state these; the raw requests of the tests gained a Host. http_client: skips an answer to another request, heeds Keep-Alive.

--- /dev/null
+++ b/Source/base/event_log.cxx
@@ -0,0 +1,120 @@
+#include "base/event_log.h"
+
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <mutex>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+#include "base/json_text.h"
+
+namespace medlaryoke {
+
+namespace {
+
+struct event_log_state {
+    std::shared_ptr<spdlog::details::thread_pool> pool;
+    std::shared_ptr<spdlog::async_logger> sink;
+    event_log_options options;
+    std::mutex mutex;
+    double tokens = 0;
+    time_point refilled{};
+    std::atomic<std::uint64_t> dropped = 0;
+};
+
+event_log_state& state()
+{
+    static event_log_state instance;
+    return instance;
+}
+
+spdlog::level::level_enum to_spdlog(log_level level)
+{
+    switch (level) {
+    case log_level::debug:
+        return spdlog::level::debug;
+    case log_level::info:
+        return spdlog::level::info;
+    case log_level::warning:
+        return spdlog::level::warn;
+    case log_level::error:
+        return spdlog::level::err;
+    }
+    return spdlog::level::info;
+}
+
+/// @return whether this second's share of lines allows another one
+bool take_token()
+{
+    auto& current = state();
+    const std::scoped_lock lock(current.mutex);
+    const time_point now = std::chrono::steady_clock::now();
+    const auto most = current.options.lines_per_second;
+    const auto passed = std::chrono::duration<double>(now - current.refilled).count();
+    current.tokens = std::min(most, current.tokens + passed * most);
+    current.refilled = now;
+    if (current.tokens < 1) {
+        ++current.dropped;
+        return false;
+    }
+    current.tokens -= 1;
+    return true;
+}
+
+void write_line(log_level level, std::string_view part, std::string_view event,
+                std::initializer_list<log_field> fields)
+{
+    auto& current = state();
+    nlohmann::json line = nlohmann::json::object();
+    line["instance"] = current.options.instance;
+    line["part"] = part;
+    line["event"] = event;
+    for (const auto& field : fields) {
+        std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
+    }
+    const auto text = to_json_text(line);
+    // The opening brace is part of the pattern, which adds the time and the level.
+    current.sink->log(to_spdlog(level), "{}", std::string_view(text).substr(1));
+}
+
+} // namespace
+
+void configure_event_log(const event_log_options& options)
+{
+    auto& current = state();
+    current.options = options;
+    current.pool = std::make_shared<spdlog::details::thread_pool>(options.queue_lines, 1);
+    current.sink = std::make_shared<spdlog::async_logger>(
+        "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), current.pool,
+        spdlog::async_overflow_policy::overrun_oldest);
+    current.sink->set_level(to_spdlog(options.level));
+    current.sink->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v)");
+}
+
+void event_log::note(log_level level, std::string_view event,
+                     std::initializer_list<log_field> fields) const
+{
+    auto& current = state();
+    if (current.sink && current.sink->should_log(to_spdlog(level))) {
+        write_line(level, this->part_, event, fields);
+    }
+}
+
+void event_log::sample(log_level level, std::string_view event,
+                       std::initializer_list<log_field> fields) const
+{
+    auto& current = state();
+    if (current.sink && current.sink->should_log(to_spdlog(level)) && take_token()) {
+        write_line(level, this->part_, event, fields);
+    }
+}
+
+std::uint64_t dropped_log_lines()
+{
+    return state().dropped;
+}
+
+} // namespace medlaryoke
--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -10,6 +10,7 @@
 #include "commands/apply_command.h"
 #include "commands/check_command.h"
 #include "commands/entry_command.h"
+#include "commands/gateway_command.h"
 #include "commands/get_command.h"
 #include "commands/report_command.h"
 #include "commands/status_command.h"
@@ -33,6 +34,7 @@
     apply_command::add_to(app);
     check_command::add_to(app);
     entry_command::add_to(app);
+    gateway_command::add_to(app);
     get_command::add_to(app);
     report_command::add_to(app);
     status_command::add_to(app);
--- /dev/null
+++ b/Source/gateway/keyed_log.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "policy/keyed_topic.h"
+
+namespace medlaryoke::gateway {
+
+/// Records of a topic and the offset from which to read on.
+struct keyed_records {
+    std::vector<policy::keyed_record> records;
+    std::uint64_t next = 0;
+};
+
+/// The records asked for were deleted; a listing still has the newest of each key.
+struct keyed_expired {};
+
+/// The store did not answer, or refused.
+struct keyed_unavailable {
+    std::string reason;
+};
+
+using keyed_result = std::variant<keyed_records, keyed_expired, keyed_unavailable>;
+
+/// A store of topics that keep the newest record of each key. Callbacks come on a worker thread of
+/// the runtime.
+class keyed_log {
+public:
+    keyed_log() = default;
+    keyed_log(const keyed_log&) = delete;
+    keyed_log& operator=(const keyed_log&) = delete;
+    keyed_log(keyed_log&&) = delete;
+    keyed_log& operator=(keyed_log&&) = delete;
+    virtual ~keyed_log() = default;
+
+    /// Lists the newest record of each key.
+    /// @param topic name of the topic
+    /// @param done called once; `next` is the end of the topic when the listing began
+    virtual void list(const std::string& topic, std::function<void(keyed_result)> done) = 0;
+
+    /// Reads on.
+    /// @param topic name of the topic
+    /// @param from first offset wanted
+    /// @param wait how long to wait for a record if there is none yet
+    /// @param done called once
+    virtual void read(const std::string& topic, std::uint64_t from, duration wait,
+                      std::function<void(keyed_result)> done) = 0;
+
+    /// Writes the newest record of a key.
+    /// @param topic name of the topic
+    /// @param key at most 255 bytes
+    /// @param value not empty
+    /// @param done called once with whether the store acknowledged it
+    virtual void put(const std::string& topic, const std::string& key, const std::string& value,
+                     std::function<void(bool)> done) = 0;
+};
+
+} // namespace medlaryoke::gateway
--- /dev/null
+++ b/Source/gateway/peer_exchange.cxx
@@ -0,0 +1,145 @@
+#include "gateway/peer_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "model/wire.pb.h"
+
+namespace medlaryoke::gateway {
+
+namespace {
+
+// Addresses that come from datagrams are bounded, so that garbage cannot grow the list.
+constexpr std::size_t max_addresses = 1024;
+
+std::string encode(const policy::peer_beat& beat, const std::vector<std::string>& known)
+{
+    wire::gateway_beat message;
+    message.set_instance(beat.instance);
+    message.set_incarnation(beat.incarnation);
+    message.set_number(beat.number);
+    message.set_beat_address(beat.beat_address);
+    message.set_control_address(beat.control_address);
+    message.set_caller_address(beat.caller_address);
+    message.set_data_centre(beat.data_centre);
+    message.set_serving(beat.serving);
+    message.set_config_version(beat.config_version);
+    message.set_upstreams_position(beat.upstreams_position);
+    for (const auto& [upstream, count] : beat.running) {
+        message.add_upstream(upstream);
+        message.add_running(count);
+    }
+    for (const auto& address : known) {
+        message.add_known_address(address);
+    }
+    return message.SerializeAsString();
+}
+
+policy::peer_beat decode(const wire::gateway_beat& message)
+{
+    policy::peer_beat beat;
+    beat.instance = message.instance();
+    beat.incarnation = message.incarnation();
+    beat.number = message.number();
+    beat.beat_address = message.beat_address();
+    beat.control_address = message.control_address();
+    beat.caller_address = message.caller_address();
+    beat.data_centre = message.data_centre();
+    beat.serving = message.serving();
+    beat.config_version = message.config_version();
+    beat.upstreams_position = message.upstreams_position();
+    const auto n = std::min(message.upstream_size(), message.running_size());
+    for (int index = 0; index < n; ++index) {
+        beat.running[message.upstream(index)] = message.running(index);
+    }
+    return beat;
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(transport::runtime& context, const clock_source& clock,
+                             policy::peer_beat own, peer_options options, self_source fill_self,
+                             std::function<void()> on_change)
+    : context_(context), clock_(clock), own_(std::move(own)), options_(options),
+      fill_self_(std::move(fill_self)), on_change_(std::move(on_change))
+{
+}
+
+void peer_exchange::start()
+{
+    const std::weak_ptr<peer_exchange> weak = this->shared_from_this();
+    this->socket_ = std::make_unique<transport::datagram_socket>(
+        this->context_, this->own_.beat_address, [weak](std::string_view data) {
+            if (const auto self = weak.lock()) {
+                self->received(data);
+            }
+        });
+    this->beat();
+    this->schedule();
+}
+
+void peer_exchange::add_addresses(const std::vector<std::string>& addresses)
+{
+    for (const auto& address : addresses) {
+        if (address != this->own_.beat_address && this->addresses_.size() < max_addresses) {
+            this->addresses_.insert(address);
+        }
+    }
+}
+
+void peer_exchange::beat_now()
+{
+    this->beat();
+}
+
+void peer_exchange::received(std::string_view data)
+{
+    wire::gateway_beat message;
+    if (!message.ParseFromArray(data.data(), static_cast<int>(data.size())) ||
+        message.instance().empty() || message.instance() == this->own_.instance) {
+        return;
+    }
+    const auto beat = decode(message);
+    this->add_addresses({beat.beat_address});
+    this->add_addresses({message.known_address().begin(), message.known_address().end()});
+    if (this->table_.on_beat(beat, this->clock_.now())) {
+        this->log_.note(log_level::info, "peer heard",
+                        {{"peer", beat.instance},
+                         {"address", beat.beat_address},
+                         {"serving", beat.serving},
+                         {"config", static_cast<std::int64_t>(beat.config_version)}});
+    }
+    this->on_change_();
+}
+
+void peer_exchange::beat()
+{
+    const auto now = this->clock_.now();
+    this->table_.on_tick(now);
+    ++this->own_.number;
+    this->fill_self_(this->own_);
+    std::vector<std::string> known;
+    for (const auto& peer : this->table_.alive(now)) {
+        known.push_back(peer.beat_address);
+    }
+    const auto data = encode(this->own_, known);
+    for (const auto& address : this->addresses_) {
+        this->socket_->send(data, address);
+    }
+}
+
+void peer_exchange::schedule()
+{
+    const auto interval =
+        std::min(this->options_.interval +
+                     this->options_.interval_per_peer * static_cast<int>(this->table_.known()),
+                 this->options_.longest_interval);
+    this->context_.after(interval, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->beat();
+            self->schedule();
+        }
+    });
+}
+
+} // namespace medlaryoke::gateway
--- /dev/null
+++ b/Source/gateway/request_filters.cxx
@@ -0,0 +1,119 @@
+#include "gateway/request_filters.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "transport/header_names.h"
+
+namespace medlaryoke::gateway {
+
+namespace {
+
+// Rank of an organisation for which the operator states none: that of most organisations.
+constexpr unsigned default_organisation_rank = 1;
+
+/// @return the key of an `Authorization: Bearer` header, empty if there is none
+std::string_view bearer_key(std::string_view value)
+{
+    constexpr std::string_view scheme = "bearer ";
+    if (!transport::same_name(value.substr(0, scheme.size()), scheme)) {
+        return {};
+    }
+    value.remove_prefix(scheme.size());
+    value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+    return value;
+}
+
+} // namespace
+
+routed_request request_filters::apply(transport::http_request message, const active_config& active,
+                                      time_point now) const
+{
+    if (!active.config) {
+        throw error(error_kind::unavailable, "no configuration is known yet",
+                    "Repeat the request later.");
+    }
+    routed_request request;
+    request.message = std::move(message);
+    request.config = active.config;
+    request.arrived = now;
+    this->identify(request);
+    find_route(request, active);
+    authenticate(request);
+    this->limit_time(request);
+    this->clean_headers(request);
+    return request;
+}
+
+void request_filters::identify(routed_request& request) const
+{
+    request.id = transport::find_header(request.message.headers, this->protocol_.request_id);
+    if (request.id.empty()) {
+        throw error(error_kind::invalid_argument,
+                    fmt::format("header {} is missing", this->protocol_.request_id),
+                    "Send an id of its own with each request.");
+    }
+}
+
+void request_filters::find_route(routed_request& request, const active_config& active)
+{
+    const auto host = transport::find_header(request.message.headers, "Host");
+    const std::string_view target = request.message.target;
+    const auto path = target.substr(0, target.find_first_of("?#"));
+    request.route = active.table->find(host, path);
+    if (request.route == nullptr) {
+        throw error(error_kind::not_found, fmt::format("no route for {}{}", host, path),
+                    "Check the host and the path against the configuration.");
+    }
+    request.priority = request.route->priority;
+}
+
+void request_filters::authenticate(routed_request& request)
+{
+    if (!request.config->has_organisations || request.route->is_public) {
+        return;
+    }
+    const auto key = bearer_key(transport::find_header(request.message.headers, "Authorization"));
+    const auto found = request.config->organisations_by_key.find(std::string(key));
+    if (found == request.config->organisations_by_key.end()) {
+        throw error(error_kind::unauthenticated, "the request bears no known key",
+                    "Send a key that the operator has issued.");
+    }
+    request.organisation = found->second.name;
+    request.organisation_rank = found->second.priority.value_or(default_organisation_rank);
+}
+
+void request_filters::limit_time(routed_request& request) const
+{
+    request.deadline = request.arrived + request.route->timeout;
+    const auto text = transport::find_header(request.message.headers, this->protocol_.deadline);
+    std::int64_t ms = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), ms).ec == std::errc{}) {
+        request.deadline = std::min<time_point>(
+            request.deadline,
+            request.arrived + std::chrono::milliseconds(std::max<std::int64_t>(ms, 0)));
+    }
+}
+
+void request_filters::clean_headers(routed_request& request) const
+{
+    auto& headers = request.message.headers;
+    const std::string named(transport::find_header(headers, "Connection"));
+    const std::array<std::string_view, 5> own{"Authorization", this->protocol_.organisation,
+                                              this->protocol_.expected_upstream,
+                                              this->protocol_.priority, this->protocol_.deadline};
+    std::erase_if(headers, [&](const transport::http_header& field) {
+        return transport::concerns_connection(field.name, named) ||
+               std::ranges::any_of(own, [&field](std::string_view name) {
+                   return transport::same_name(field.name, name);
+               });
+    });
+}
+
+} // namespace medlaryoke::gateway
--- /dev/null
+++ b/Source/gateway/service_dispatcher.cxx
@@ -0,0 +1,165 @@
+#include "gateway/service_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/digest.h"
+#include "gateway/proxied_request.h"
+
+namespace medlaryoke::gateway {
+
+namespace {
+
+// Kept connections of one gateway to one upstream; more than its slots are never in use at once.
+constexpr std::size_t max_idle_connections = 24;
+
+} // namespace
+
+service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
+                                       const caller_protocol& protocol, gateway_metrics& metrics,
+                                       std::string name, std::uint64_t seed)
+    : context_(context), clock_(clock), protocol_(protocol), metrics_(metrics),
+      name_(std::move(name)), scheduler_({}, seed), waiting_rules_({}, seed + 1)
+{
+}
+
+void service_dispatcher::set_upstreams(const std::vector<model::upstream_entry>& upstreams,
+                                       const std::string& own_data_centre)
+{
+    std::unordered_map<std::uint64_t, connected_upstream> next;
+    for (const auto& entry : upstreams) {
+        const auto key = hash64(entry.id);
+        const auto known = this->upstreams_.find(key);
+        const bool same = known != this->upstreams_.end() &&
+                          known->second.entry.address == entry.address &&
+                          known->second.entry.started_at == entry.started_at;
+        next[key] = {entry, same ? known->second.client
+                                 : std::make_shared<transport::http_client>(
+                                       this->context_, entry.address, max_idle_connections)};
+    }
+    this->upstreams_ = std::move(next);
+    this->scheduler_.set_upstreams(upstreams, own_data_centre);
+    this->dispatch();
+}
+
+void service_dispatcher::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running)
+{
+    this->scheduler_.set_remote_load(running);
+    this->dispatch();
+}
+
+void service_dispatcher::set_budget(const policy::attempt_budget_options& options,
+                                    std::size_t sharers)
+{
+    this->budget_.configure(options, sharers);
+}
+
+void service_dispatcher::submit(const std::shared_ptr<proxied_request>& request)
+{
+    const auto& details = request->details();
+    this->budget_.on_request(this->clock_.now());
+    this->queue(request, false, {},
+                this->waiting_rules_.wait_until(details.arrived, details.route->target_latency,
+                                                details.deadline, details.route->is_stream));
+}
+
+void service_dispatcher::resubmit(const std::shared_ptr<proxied_request>& request,
+                                  const std::vector<std::uint64_t>& excluded, time_point wait_until)
+{
+    this->queue(request, true, excluded, wait_until);
+}
+
+void service_dispatcher::queue(const std::shared_ptr<proxied_request>& request, bool repeated,
+                               const std::vector<std::uint64_t>& excluded, time_point wait_until)
+{
+    const auto& details = request->details();
+    this->waiting_[details.number] = request;
+    this->scheduler_.push({details.number, details.organisation_rank, details.priority, repeated,
+                           details.route->repeat != model::repeat_rule::unsafe, details.arrived,
+                           wait_until, excluded});
+    this->dispatch();
+}
+
+void service_dispatcher::withdraw(std::uint64_t number)
+{
+    if (this->waiting_.erase(number) > 0) {
+        this->scheduler_.remove(number);
+    }
+}
+
+void service_dispatcher::configure(const model::route_config& config)
+{
+    const auto found = config.services.find(this->name_);
+    if (found == config.services.end() || !found->second.engine) {
+        this->pace_.configure({}, {});
+        return;
+    }
+    duration longest_gap{};
+    for (const auto& route : config.routes) {
+        const bool serves = std::ranges::any_of(
+            route.services, [this](const auto& share) { return share.service == this->name_; });
+        if (serves && route.target_gap > duration::zero()) {
+            longest_gap = longest_gap == duration::zero() ? route.target_gap
+                                                          : std::min(longest_gap, route.target_gap);
+        }
+    }
+    this->pace_.configure(found->second.engine->step * found->second.engine->steps_per_pass,
+                          longest_gap);
+}
+
+void service_dispatcher::on_gap(duration gap)
+{
+    this->pace_.on_gap(gap, this->scheduler_.mean_running(), this->clock_.now());
+    this->scheduler_.set_run_limit(this->pace_.limit());
+}
+
+void service_dispatcher::on_end(std::uint64_t upstream, bool has_started)
+{
+    this->scheduler_.on_end(upstream, has_started, this->clock_.now());
+    this->dispatch();
+}
+
+void service_dispatcher::on_result(std::uint64_t upstream, policy::call_outcome outcome,
+                                   std::optional<duration> latency)
+{
+    this->scheduler_.on_result(upstream, outcome, latency, this->clock_.now());
+}
+
+bool service_dispatcher::try_retry()
+{
+    return this->budget_.try_take(this->clock_.now());
+}
+
+void service_dispatcher::tick()
+{
+    for (const auto number : this->scheduler_.take_expired(this->clock_.now())) {
+        const auto found = this->waiting_.find(number);
+        if (found != this->waiting_.end()) {
+            const auto request = std::move(found->second);
+            this->waiting_.erase(found);
+            request->on_not_assigned();
+        }
+    }
+    this->dispatch();
+}
+
+void service_dispatcher::dispatch()
+{
+    // An attempt that ends at once comes back here; the loop outside goes on.
+    if (std::exchange(this->dispatching_, true)) {
+        return;
+    }
+    for (auto ready = this->scheduler_.take_ready(this->clock_.now()); !ready.empty();
+         ready = this->scheduler_.take_ready(this->clock_.now())) {
+        for (const auto& [number, key] : ready) {
+            const auto found = this->waiting_.find(number);
+            const auto request = std::move(found->second);
+            this->waiting_.erase(found);
+            const auto& upstream = this->upstreams_.at(key);
+            request->on_assigned({key, upstream.entry.id, upstream.client});
+        }
+    }
+    this->dispatching_ = false;
+}
+
+} // namespace medlaryoke::gateway
--- /dev/null
+++ b/Source/transport/header_names.cxx
@@ -0,0 +1,56 @@
+#include "transport/header_names.h"
+
+#include <algorithm>
+#include <array>
+
+namespace medlaryoke::transport {
+
+namespace {
+
+char lower(char c)
+{
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+}
+
+/// @return whether a comma-separated list has an entry
+bool lists(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        const auto comma = list.find(',');
+        auto entry = list.substr(0, comma);
+        list = comma == std::string_view::npos ? std::string_view{} : list.substr(comma + 1);
+        entry.remove_prefix(std::min(entry.find_first_not_of(" \t"), entry.size()));
+        entry = entry.substr(0, entry.find_last_not_of(" \t") + 1);
+        if (same_name(entry, name)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
+bool concerns_connection(std::string_view name, std::string_view connection)
+{
+    constexpr std::array<std::string_view, 11> hop_by_hop{"Connection",
+                                                          "Keep-Alive",
+                                                          "Proxy-Connection",
+                                                          "Proxy-Authenticate",
+                                                          "Proxy-Authorization",
+                                                          "TE",
+                                                          "Trailer",
+                                                          "Transfer-Encoding",
+                                                          "Upgrade",
+                                                          "Expect",
+                                                          "Content-Length"};
+    return std::ranges::any_of(hop_by_hop,
+                               [name](std::string_view other) { return same_name(name, other); }) ||
+           lists(connection, name);
+}
+
+} // namespace medlaryoke::transport
--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <charconv>
 #include <exception>
 #include <limits>
 #include <mutex>
+#include <optional>
 #include <string_view>
 #include <unordered_set>
 #include <utility>
@@ -43,8 +45,10 @@
 
 std::string encode_request(const http_request& request, const std::string& address)
 {
-    auto text =
-        fmt::format("{} {} HTTP/1.1\r\nHost: {}\r\n", request.method, request.target, address);
+    auto text = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    if (find_header(request.headers, "Host").empty()) {
+        text += fmt::format("Host: {}\r\n", address);
+    }
     for (const auto& field : request.headers) {
         text += fmt::format("{}: {}\r\n", field.name, field.value);
     }
@@ -69,6 +73,27 @@
            });
 }
 
+/// Time by which a connection is given up before the server closes it, so that no request crosses
+/// the close. `Keep-Alive` states whole seconds; a round trip and a late timer fit in this margin.
+constexpr auto keep_alive_margin = std::chrono::milliseconds(500);
+
+/// @return how long the server keeps an idle connection, empty if it does not say
+std::optional<duration> keep_alive_limit(const http_head& head)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto value = find_header(head.headers, "Keep-Alive");
+    const auto at = value.find(key);
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const auto digits = value.substr(at + key.size());
+    unsigned seconds = 0;
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc{}) {
+        return std::nullopt;
+    }
+    return std::chrono::seconds(seconds);
+}
+
 /// Runs a callback; its exceptions must not end the worker thread.
 template <typename Function>
 void run_callback(Function fn)
@@ -123,6 +148,16 @@
 
     [[nodiscard]] bool over() const { return this->over_ || *this->client_gone_; }
 
+    [[nodiscard]] bool owns(const http_head& value)
+    {
+        if (this->over() || !this->events_.is_own_reply) {
+            return true;
+        }
+        bool own = false;
+        run_callback([&] { own = this->events_.is_own_reply(value); });
+        return own;
+    }
+
     void head(const http_head& value)
     {
         if (!this->over() && this->events_.on_head) {
@@ -186,7 +221,7 @@
     void close();
 
     // Guarded by the mutex of the pool while the connection is idle.
-    time_point idle_since{};
+    time_point idle_until{};
 
 private:
     enum class phase { fresh, connecting, exchanging, idle, closed };
@@ -221,6 +256,9 @@
     bool any_sent_ = false;
     bool waiting_ = false;
     bool reading_ = false;
+    bool foreign_ = false;     ///< the reply being read answers another request
+    bool out_of_step_ = false; ///< such a reply was read; the connection is not used again
+    std::optional<duration> idle_limit_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
     std::array<char, body_block_bytes> block_{};
@@ -468,7 +506,11 @@
     }
     // An eager parser would hold back a chunk until the block is full or the next chunk begins.
     this->parser_->eager(false);
-    this->exchange_->head(head);
+    this->idle_limit_ = keep_alive_limit(head);
+    this->foreign_ = !this->exchange_->owns(head);
+    if (!this->foreign_) {
+        this->exchange_->head(head);
+    }
     if (this->parser_->is_done()) {
         this->complete();
         return;
@@ -493,7 +535,7 @@
         return;
     }
     const auto n = this->block_.size() - this->parser_->get().body().size;
-    if (n > 0) {
+    if (n > 0 && !this->foreign_) {
         this->exchange_->data(std::string(this->block_.data(), n));
     }
     if (ec && ec != http::error::need_buffer) {
@@ -510,9 +552,20 @@
 
 void client_connection::complete()
 {
+    if (this->foreign_) {
+        this->out_of_step_ = true;
+        this->set_limit(this->timeouts_.first_byte, "waiting for the reply");
+        this->read_head();
+        return;
+    }
     const auto exchange = this->exchange_;
+    const auto idle_limit = std::min<duration>(
+        this->pool_->max_idle_time,
+        this->idle_limit_.value_or(this->pool_->max_idle_time + keep_alive_margin) -
+            keep_alive_margin);
     const bool reusable = this->parser_->keep_alive() && !this->writing_ && !this->write_failed_ &&
-                          this->buffer_.size() == 0 && !exchange->over();
+                          !this->out_of_step_ && this->buffer_.size() == 0 && !exchange->over() &&
+                          idle_limit > duration::zero();
     if (!reusable) {
         this->close();
         exchange->end();
@@ -529,7 +582,7 @@
         const std::scoped_lock lock(this->pool_->mutex);
         this->pool_->busy.erase(this->shared_from_this());
         if (!this->pool_->closed && this->pool_->idle.size() < this->pool_->max_idle) {
-            this->idle_since = std::chrono::steady_clock::now();
+            this->idle_until = std::chrono::steady_clock::now() + idle_limit;
             this->pool_->idle.push_back(this->shared_from_this());
             kept = true;
         }
@@ -545,12 +598,12 @@
 take_connection(const std::shared_ptr<client_pool>& pool,
                 std::vector<std::shared_ptr<client_connection>>& expired)
 {
-    const time_point oldest = std::chrono::steady_clock::now() - pool->max_idle_time;
+    const time_point now = std::chrono::steady_clock::now();
     const std::scoped_lock lock(pool->mutex);
-    const auto fresh = std::ranges::find_if(
-        pool->idle, [oldest](const auto& entry) { return entry->idle_since >= oldest; });
-    expired.assign(pool->idle.begin(), fresh);
-    pool->idle.erase(pool->idle.begin(), fresh);
+    const auto fresh = std::ranges::stable_partition(
+        pool->idle, [now](const auto& entry) { return entry->idle_until < now; });
+    expired.assign(pool->idle.begin(), fresh.begin());
+    pool->idle.erase(pool->idle.begin(), fresh.begin());
     std::shared_ptr<client_connection> taken;
     if (pool->idle.empty()) {
         taken = std::make_shared<client_connection>(pool);
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -28,6 +28,9 @@
 
 /// Called in order on a worker thread; exactly one of on_end and on_failure ends the exchange.
 struct http_events {
+    /// Tells whether a reply answers this request; empty if every reply does. A reply that does not
+    /// is dropped, the next one is awaited, and the connection is not used again.
+    std::function<bool(const http_head&)> is_own_reply;
     std::function<void(const http_head&)> on_head;
     std::function<void(std::string)> on_data;
     std::function<void()> on_end;
@@ -55,7 +58,8 @@
     /// @param context runs the exchanges
     /// @param address IP address and port of the server
     /// @param max_idle_connections connections kept open for reuse
-    /// @param max_idle_time a connection idle for longer is closed instead of reused
+    /// @param max_idle_time a connection idle for longer, or for nearly as long as the server said
+    /// in `Keep-Alive`, is closed instead of reused
     http_client(runtime& context, const std::string& address, std::size_t max_idle_connections = 64,
                 duration max_idle_time = std::chrono::seconds(15));
     http_client(const http_client&) = delete;
@@ -67,7 +71,7 @@
     ~http_client();
 
     /// Sends a request and streams the reply.
-    /// @param request the request; `Host` and `Content-Length` are added
+    /// @param request the request; `Content-Length` is added, and `Host` if it is missing
     /// @param timeouts limits for each phase
     /// @param events callbacks; empty ones are skipped
     /// @return the exchange, for cancel
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -104,11 +104,47 @@
 class server_stream;
 class server_connection;
 
+/// @return why the framing of a request is ambiguous or incomplete, empty if it is sound
+std::optional<error> framing_fault(const http::request<http::string_body>& message)
+{
+    constexpr unsigned http_1_1 = 11;
+    const auto hosts = message.count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && message.version() >= http_1_1)) {
+        return error(error_kind::invalid_argument,
+                     fmt::format("request has {} Host headers instead of one", hosts),
+                     "Send one Host header.");
+    }
+    const auto codings = message.count(http::field::transfer_encoding);
+    if (codings == 0) {
+        return std::nullopt;
+    }
+    // A coding that this server cannot undo would leave the body to be read as a next request.
+    if (codings > 1 || !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
+        return error(error_kind::invalid_argument, "request has an unknown Transfer-Encoding",
+                     "Send the body with a Content-Length or as chunked.");
+    }
+    if (message.count(http::field::content_length) > 0) {
+        return error(error_kind::invalid_argument,
+                     "request has both Content-Length and Transfer-Encoding",
+                     "Send only one of the two headers.");
+    }
+    return std::nullopt;
+}
+
+/// Makes the reply that reports an error with a status that its kind does not have.
+http_response make_error_response_with_status(const error& failure, unsigned status)
+{
+    auto response = make_error_response(failure);
+    response.head.status = status;
+    return response;
+}
+
 /// The acceptor and the set of its connections.
 struct server_state {
-    http_server_options options;
+    std::atomic<std::shared_ptr<const http_server_options>> limits;
     http_handler handler;
     std::atomic<bool> draining = false;
+    std::atomic<bool> serves_late = false; ///< while draining
     std::atomic<std::size_t> open = 0;
     std::mutex mutex;
     std::unordered_set<std::shared_ptr<server_connection>> connections;
@@ -165,6 +201,11 @@
     void receive();
     void receive_body();
     void receive_failed(const error_code& ec);
+    void refuse(const http_response& response);
+    [[nodiscard]] std::shared_ptr<const http_server_options> limits() const
+    {
+        return this->state_->limits.load();
+    }
     void read_expired();
     void hand_over();
     void watch();
@@ -376,11 +417,11 @@
         this->receive();
         return;
     }
-    if (this->state_->draining) {
+    if (this->state_->draining && !this->state_->serves_late) {
         this->close();
         return;
     }
-    this->read_deadline_.set(this->state_->options.idle_timeout, this->shared_from_this());
+    this->read_deadline_.set(this->limits()->idle_timeout, this->shared_from_this());
     this->watch();
 }
 
@@ -428,9 +469,10 @@
     this->too_slow_ = false;
     this->framing_ = {};
     this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
-    this->parser_->header_limit(static_cast<std::uint32_t>(this->state_->options.max_header_bytes));
-    this->parser_->body_limit(this->state_->options.max_body_bytes);
-    this->read_deadline_.set(this->state_->options.request_timeout, this->shared_from_this());
+    const auto limits = this->limits();
+    this->parser_->header_limit(static_cast<std::uint32_t>(limits->max_header_bytes));
+    this->parser_->body_limit(limits->max_body_bytes);
+    this->read_deadline_.set(limits->header_timeout, this->shared_from_this());
     http::async_read_header(
         this->socket_, this->buffer_, *this->parser_,
         [self = this->shared_from_this()](const error_code& ec, std::size_t) {
@@ -441,9 +483,14 @@
                 self->receive_failed(ec);
                 return;
             }
+            if (const auto fault = framing_fault(self->parser_->get())) {
+                self->refuse(make_error_response(*fault));
+                return;
+            }
             if (boost::beast::iequals(self->parser_->get()[http::field::expect], "100-continue")) {
                 self->queue("HTTP/1.1 100 Continue\r\n\r\n");
             }
+            self->read_deadline_.set(self->limits()->request_timeout, self);
             self->receive_body();
         });
 }
@@ -474,37 +521,47 @@
     this->socket_.cancel(ec); // the pending read ends in receive_failed
 }
 
-void server_connection::receive_failed(const error_code& ec)
+void server_connection::refuse(const http_response& response)
 {
-    const auto& limits = this->state_->options;
     this->framing_.keep_open = false;
     this->phase_ = phase::handling;
-    const auto reply = [this](const error& failure) {
-        this->send_whole(make_error_response(failure));
-    };
+    this->send_whole(response);
+}
+
+void server_connection::receive_failed(const error_code& ec)
+{
+    constexpr unsigned request_timeout_status = 408;
+    constexpr unsigned header_too_large_status = 431;
+    const auto limits = this->limits();
     if (this->too_slow_) {
-        reply(error(error_kind::deadline_exceeded,
-                    fmt::format("request did not arrive whole within {}",
-                                format_duration(limits.request_timeout)),
-                    "Send the whole request at once."));
+        this->refuse(make_error_response_with_status(
+            error(error_kind::deadline_exceeded,
+                  fmt::format("request head did not arrive within {}, or its body within {} more",
+                              format_duration(limits->header_timeout),
+                              format_duration(limits->request_timeout)),
+                  "Send the whole request at once."),
+            request_timeout_status));
     }
     else if (ec == http::error::header_limit) {
-        reply(error(
-            error_kind::too_large,
-            fmt::format("request header exceeds the limit of {} bytes", limits.max_header_bytes),
-            "Send fewer or shorter header fields."));
+        this->refuse(make_error_response_with_status(
+            error(error_kind::too_large,
+                  fmt::format("request header exceeds the limit of {} bytes",
+                              limits->max_header_bytes),
+                  "Send fewer or shorter header fields."),
+            header_too_large_status));
     }
     else if (ec == http::error::body_limit) {
-        reply(
+        this->refuse(make_error_response(
             error(error_kind::too_large,
-                  fmt::format("request body exceeds the limit of {} bytes", limits.max_body_bytes),
-                  "Send a smaller request body."));
+                  fmt::format("request body exceeds the limit of {} bytes", limits->max_body_bytes),
+                  "Send a smaller request body.")));
     }
     else if (ec.category() == http::make_error_code(http::error::bad_method).category() &&
              ec != http::error::end_of_stream && ec != http::error::partial_message) {
-        reply(error(error_kind::invalid_argument,
-                    fmt::format("request is not valid HTTP/1.1: {}", ec.message()),
-                    "Send a well-formed HTTP/1.1 request."));
+        this->refuse(make_error_response(
+            error(error_kind::invalid_argument,
+                  fmt::format("request is not valid HTTP/1.1: {}", ec.message()),
+                  "Send a well-formed HTTP/1.1 request.")));
     }
     else {
         this->close();
@@ -616,7 +673,7 @@
     }
     this->writing_ = true;
     this->in_write_ = std::exchange(this->outgoing_, {});
-    this->write_deadline_.set(this->state_->options.write_timeout, this->shared_from_this());
+    this->write_deadline_.set(this->limits()->write_timeout, this->shared_from_this());
     asio::async_write(this->socket_, asio::buffer(this->in_write_),
                       [self = this->shared_from_this()](const error_code& ec, std::size_t n) {
                           self->wrote(ec, n);
@@ -664,12 +721,12 @@
 /// Accepts connections on the strand of the acceptor.
 class http_server::implementation : public std::enable_shared_from_this<implementation> {
 public:
-    implementation(runtime& context, http_server_options options, http_handler handler)
+    implementation(runtime& context, const http_server_options& options, http_handler handler)
         : context_(context.impl().context), acceptor_(asio::make_strand(context_)),
           retry_timer_(acceptor_.get_executor()), state_(std::make_shared<server_state>())
     {
         const auto endpoint = parse_tcp_address(options.address);
-        this->state_->options = std::move(options);
+        this->state_->limits = std::make_shared<const http_server_options>(options);
         this->state_->handler = std::move(handler);
         try {
             this->acceptor_.open(endpoint.protocol());
@@ -680,8 +737,7 @@
         }
         catch (const boost::system::system_error& e) {
             throw error(error_kind::unavailable,
-                        fmt::format("cannot listen on {}: {}", this->state_->options.address,
-                                    e.code().message()),
+                        fmt::format("cannot listen on {}: {}", options.address, e.code().message()),
                         "Choose an address of this instance that is not in use.");
         }
     }
@@ -695,9 +751,18 @@
             });
     }
 
-    void drain()
+    void set_limits(http_server_options options)
     {
+        this->state_->limits = std::make_shared<const http_server_options>(std::move(options));
+    }
+
+    void drain(drain_mode mode)
+    {
+        this->state_->serves_late = mode == drain_mode::serve_late;
         this->state_->draining = true;
+        if (mode == drain_mode::serve_late) {
+            return;
+        }
         asio::post(this->acceptor_.get_executor(), [self = this->shared_from_this()] {
             error_code ec;
             self->acceptor_.close(ec);
@@ -708,7 +773,7 @@
 
     void close()
     {
-        this->drain();
+        this->drain(drain_mode::refuse_new);
         std::unordered_set<std::shared_ptr<server_connection>> connections;
         {
             const std::scoped_lock lock(this->state_->mutex);
@@ -769,8 +834,8 @@
     std::string address_;
 };
 
-http_server::http_server(runtime& context, http_server_options options, http_handler handler)
-    : impl_(std::make_shared<implementation>(context, std::move(options), std::move(handler)))
+http_server::http_server(runtime& context, const http_server_options& options, http_handler handler)
+    : impl_(std::make_shared<implementation>(context, options, std::move(handler)))
 {
     this->impl_->accept();
 }
@@ -785,9 +850,14 @@
     return this->impl_->address();
 }
 
-void http_server::drain()
+void http_server::drain(drain_mode mode)
+{
+    this->impl_->drain(mode);
+}
+
+void http_server::set_limits(http_server_options options)
 {
-    this->impl_->drain();
+    this->impl_->set_limits(std::move(options));
 }
 
 std::size_t http_server::open_connections() const
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -50,10 +50,17 @@
     std::size_t max_header_bytes = 16U * 1024U;
     std::size_t max_body_bytes = 4U * 1024U * 1024U;
     duration idle_timeout = std::chrono::seconds(60);
-    duration request_timeout = std::chrono::seconds(10); ///< to receive one whole request
+    duration header_timeout = std::chrono::seconds(10);  ///< to receive the head of a request
+    duration request_timeout = std::chrono::seconds(10); ///< to receive the body after the head
     duration write_timeout = std::chrono::seconds(30);   ///< for one write to a slow client
 };
 
+/// What a draining server does with connections that come or stay.
+enum class drain_mode {
+    refuse_new, ///< stops listening and closes idle connections
+    serve_late, ///< goes on listening, for clients that learn late that the server is leaving
+};
+
 using http_handler = std::function<void(http_request, std::shared_ptr<response_stream>)>;
 
 /// HTTP/1.1 server. Oversized or malformed requests get a typed error without reaching the
@@ -65,7 +72,7 @@
     /// @param options address and limits
     /// @param handler called for each request on a worker thread
     /// @throws error of kind unavailable if the address cannot be bound
-    http_server(runtime& context, http_server_options options, http_handler handler);
+    http_server(runtime& context, const http_server_options& options, http_handler handler);
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
     http_server(http_server&&) = delete;
@@ -77,8 +84,13 @@
     /// @return the bound IP address and port
     [[nodiscard]] std::string address() const;
 
-    /// Accepts no further connections and closes idle ones; replies carry `Connection: close`.
-    void drain();
+    /// From now on replies carry `Connection: close`.
+    /// @param mode what happens to new and idle connections
+    void drain(drain_mode mode = drain_mode::refuse_new);
+
+    /// Replaces the limits and timeouts for requests that begin from now on.
+    /// @param options the new limits; the address is ignored
+    void set_limits(http_server_options options);
 
     /// @return connections that are open
     [[nodiscard]] std::size_t open_connections() const;
--- a/Source/transport/runtime.cxx
+++ b/Source/transport/runtime.cxx
@@ -92,6 +92,19 @@
         });
 }
 
+void runtime::on_reload_signal(std::function<void()> fn)
+{
+    boost::system::error_code ignored; // the signal may be added already
+    this->impl_->reload_signals.add(SIGHUP, ignored);
+    this->impl_->reload_signals.async_wait(
+        [this, fn = std::move(fn)](const boost::system::error_code& ec, int) {
+            if (!ec) {
+                run_guarded(this->impl_->log, fn);
+                this->on_reload_signal(fn);
+            }
+        });
+}
+
 void runtime::start()
 {
     for (unsigned n = 0; n < this->impl_->thread_count; ++n) {
--- a/Source/transport/runtime.h
+++ b/Source/transport/runtime.h
@@ -47,6 +47,10 @@
     /// @param fn called once, on a worker thread
     void on_termination_signal(std::function<void()> fn);
 
+    /// Runs a function on each SIGHUP.
+    /// @param fn called on a worker thread
+    void on_reload_signal(std::function<void()> fn);
+
     /// Starts the worker threads.
     void start();
 
--- a/Source/transport/runtime_implementation.h
+++ b/Source/transport/runtime_implementation.h
@@ -22,7 +22,7 @@
 public:
     explicit implementation(unsigned count)
         : context(static_cast<int>(count)), thread_count(count),
-          work(boost::asio::make_work_guard(context)), signals(context)
+          work(boost::asio::make_work_guard(context)), signals(context), reload_signals(context)
     {
     }
 
@@ -32,6 +32,7 @@
     unsigned thread_count;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
     boost::asio::signal_set signals;
+    boost::asio::signal_set reload_signals;
     std::vector<std::thread> threads;
     std::mutex mutex;
     std::condition_variable stopped_changed;
--- /dev/null
+++ b/Tests/policy/test_attempt_budget.cxx
@@ -0,0 +1,45 @@
+#include "policy/attempt_budget.h"
+
+#include <algorithm>
+#include <chrono>
+#include <random>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace medlaryoke;
+using namespace medlaryoke::policy;
+using namespace std::chrono_literals;
+
+// Guards against gateways that each use the whole budget: in any window, all together stay within
+// the bound that the operator set.
+Test(attempt_budget, gateways_together_keep_the_bound_in_every_window)
+{
+    constexpr std::size_t gateways = 4;
+    const attempt_budget_options options{0.2, 94, 10s};
+    std::vector<attempt_budget> budgets(gateways);
+    for (auto& it : budgets) {
+        it.configure(options, gateways);
+    }
+    std::mt19937 random(7);
+    std::vector<time_point> requests;
+    std::vector<time_point> taken;
+    for (int ms = 0; ms < 60'000; ms += 5) {
+        const time_point now{std::chrono::milliseconds(ms)};
+        auto& budget = budgets[random() % gateways];
+        if (ms % 20'000 < 10'000) {
+            budget.on_request(now);
+            requests.push_back(now);
+        }
+        if (budget.try_take(now)) {
+            taken.push_back(now);
+        }
+    }
+    for (const auto end : taken) {
+        const auto in_window = [end](time_point at) { return at > end - 10s && at <= end; };
+        const auto used = std::ranges::count_if(taken, in_window);
+        const auto asked = std::ranges::count_if(requests, in_window);
+        cr_assert(static_cast<double>(used) <= 0.2 * static_cast<double>(asked) + 94);
+    }
+    cr_assert(taken.size() > 300); // and they are used
+}
--- /dev/null
+++ b/Tests/policy/test_keyed_topic.cxx
@@ -0,0 +1,37 @@
+#include "policy/keyed_topic.h"
+
+#include <criterion/criterion.h>
+
+using namespace medlaryoke::policy;
+
+// Guards against a lagging listing that brings an older value back into force.
+Test(keyed_topic, a_lagging_listing_changes_nothing)
+{
+    keyed_topic topic;
+    topic.apply_listing({{"config", "one", 3}}, 4);
+    topic.apply_records({{"config", "two", 4}, {"gone", "", 5}}, 6);
+    cr_assert(topic.apply_listing({{"config", "one", 3}, {"gone", "old", 2}}, 4).empty());
+    cr_assert(topic.next() == 6);
+}
+
+// Guards against a key that stays although its records were deleted while they were not read.
+Test(keyed_topic, a_listing_removes_keys_that_are_gone)
+{
+    keyed_topic topic;
+    topic.apply_listing({{"a", "1", 0}, {"b", "1", 1}}, 2);
+    const auto changes = topic.apply_listing({{"b", "2", 7}}, 9);
+    cr_assert(changes.size() == 2);
+    cr_assert(changes[0].key == "b" && changes[0].value == "2");
+    cr_assert(changes[1].key == "a" && changes[1].value.empty());
+    cr_assert(topic.next() == 9);
+}
+
+// Guards against work for each of many records of one key that arrive together.
+Test(keyed_topic, only_the_newest_record_of_a_key_is_a_change)
+{
+    keyed_topic topic;
+    topic.apply_listing({}, 0);
+    const auto changes = topic.apply_records({{"a", "1", 0}, {"a", "2", 1}, {"a", "3", 2}}, 3);
+    cr_assert(changes.size() == 1);
+    cr_assert(changes[0].value == "3");
+}
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -170,3 +170,63 @@
     cr_assert(connection.read_all().empty()); // the client closes the connection
     cr_assert(!late);
 }
+
+// Guards against an extra late answer of an upstream that is taken for the answer to the next
+// request on its connection.
+Test(http_client, skips_an_answer_to_another_request)
+{
+    scripted_server script;
+    std::promise<std::string> body;
+    http_events events;
+    events.is_own_reply = [](const http_head& head) {
+        return find_header(head.headers, "X-Id") == "mine";
+    };
+    auto text = std::make_shared<std::string>();
+    events.on_data = [text](const std::string& data) { *text += data; };
+    events.on_end = [text, &body] { body.set_value(*text); };
+    const auto exchange = script.client.send(get_request, {}, events);
+    const auto first = script.listener.accept();
+    cr_assert(!first.read_until("\r\n\r\n").empty());
+    first.send("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\nold"
+               "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 4\r\n\r\nmine");
+    cr_assert(body.get_future().get() == "mine");
+    // The connection is out of step, so the next request takes another one.
+    auto next = script.start();
+    const auto second = script.listener.accept();
+    cr_assert(!second.read_until("\r\n\r\n").empty());
+    second.send(ok_reply);
+    cr_assert(is_ok(next.get()));
+}
+
+// Guards against a request that crosses the close of a connection that the server keeps for a
+// short time only.
+Test(http_client, heeds_the_time_that_a_server_keeps_a_connection)
+{
+    scripted_server script;
+    auto first = script.start();
+    const auto connection = script.listener.accept();
+    cr_assert(!connection.read_until("\r\n\r\n").empty());
+    connection.send("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok");
+    cr_assert(is_ok(first.get()));
+    auto second = script.start();
+    const auto other = script.listener.accept();
+    cr_assert(!other.read_until("\r\n\r\n").empty());
+    other.send(ok_reply);
+    cr_assert(is_ok(second.get()));
+}
+
+// Guards against a forwarded request that names the upstream's address instead of the host that
+// the caller meant.
+Test(http_client, keeps_the_host_of_a_forwarded_request)
+{
+    scripted_server script;
+    auto sent = std::async(std::launch::async, [&script] {
+        return fetch(script.client, {"GET", "/", {{"Host", "shop.example"}}, {}});
+    });
+    const auto connection = script.listener.accept();
+    const auto text = connection.read_until("\r\n\r\n");
+    cr_assert(text.find("Host: shop.example\r\n") != std::string::npos, "%s", text.c_str());
+    cr_assert(text.find(script.listener.address()) == std::string::npos, "%s", text.c_str());
+    connection.send(ok_reply);
+    cr_assert(is_ok(sent.get()));
+}
