experts: Keep the expert maps of lock-step groups even while popularity shifts

Change: an agent beside each engine reads counts and passes on orders; the first gateway by name searches a placement and rolls it out. map_rollout is checked by a randomized model with lost, late and unanswered orders, idle groups, ranks that cannot be reached and coordinators that follow each other. The model found two faults before any run: a hold of an idle group could share its step with an earlier one and be lifted by a late order; the order that raises the fence named the version to be armed and could take the switch back when carried out late.

--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -12,6 +12,7 @@
 #include "commands/entry_command.h"
 #include "commands/gateway_command.h"
 #include "commands/get_command.h"
+#include "commands/rank_agent_command.h"
 #include "commands/report_command.h"
 #include "commands/status_command.h"
 #include "commands/watch_command.h"
@@ -36,6 +37,7 @@
     entry_command::add_to(app);
     gateway_command::add_to(app);
     get_command::add_to(app);
+    rank_agent_command::add_to(app);
     report_command::add_to(app);
     status_command::add_to(app);
     watch_command::add_to(app);
--- a/Source/commands/gateway_command.cxx
+++ b/Source/commands/gateway_command.cxx
@@ -22,7 +22,7 @@
         log.instance = settings.gateway.instance;
         configure_event_log(log);
         gateway::gateway_process(settings.gateway,
-                                 platform::make_deployment(settings.store_address, *metrics_port))
+                                 platform::make_deployment(settings, *metrics_port))
             .run();
     });
 }
--- a/Source/commands/gateway_command.h
+++ b/Source/commands/gateway_command.h
@@ -1,8 +1,8 @@
 #pragma once
 
-namespace CLI {
+namespace CLI { // NOLINT(readability-identifier-naming): name of the library
 class App;
-} // namespace CLI
+}
 
 namespace medlaryoke::commands {
 
--- /dev/null
+++ b/Source/commands/rank_agent_command.h
@@ -0,0 +1,17 @@
+#pragma once
+
+namespace CLI { // NOLINT(readability-identifier-naming): name of the library
+class App;
+}
+
+namespace medlaryoke::commands {
+
+/// The subcommand `rank-agent`: stands beside an engine of the platform.
+class rank_agent_command {
+public:
+    /// Adds the subcommand.
+    /// @param app the command line
+    static void add_to(CLI::App& app);
+};
+
+} // namespace medlaryoke::commands
--- /dev/null
+++ b/Source/experts/group_balancer.cxx
@@ -0,0 +1,412 @@
+#include "experts/group_balancer.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace medlaryoke::experts {
+
+namespace {
+
+constexpr auto tick_interval = std::chrono::milliseconds(20);
+
+// A state that is older says nothing about the group now.
+constexpr auto state_age = std::chrono::milliseconds(1500);
+
+// Pause after a search that found nothing worth a switch, and after a switch.
+constexpr auto search_interval = std::chrono::milliseconds(400);
+
+// The upper part of a version is the token, so that no two coordinators use the same one. Each
+// proposal takes two versions: one for the map, one to replace it if the switch is given up.
+constexpr unsigned proposal_bits = 20;
+
+/// The map with which a group begins: experts in turn.
+policy::expert_map first_map(const policy::group_shape& shape)
+{
+    policy::expert_map map;
+    policy::set_placement placement(shape.ranks);
+    for (unsigned expert = 0; expert < shape.experts; ++expert) {
+        placement[expert % shape.ranks].push_back(expert);
+    }
+    map.sets.assign(shape.sets, placement);
+    return map;
+}
+
+} // namespace
+
+group_balancer::group_balancer(transport::runtime& context, const clock_source& clock,
+                               std::string name, const policy::group_shape& shape,
+                               std::vector<rank_address> ranks, const engine_factory& open_engine,
+                               balancer_options options)
+    : context_(context), clock_(clock), name_(std::move(name)), shape_(shape),
+      addresses_(std::move(ranks)), options_(options),
+      loads_(shape.sets, std::vector<double>(shape.experts))
+{
+    for (const auto& address : this->addresses_) {
+        rank_state rank;
+        rank.link =
+            std::make_shared<rank_link>(context, clock, address.agent, open_engine(address.engine));
+        this->ranks_.push_back(std::move(rank));
+    }
+}
+
+void group_balancer::start(std::uint64_t token)
+{
+    this->token_ = token;
+    this->log_.note(log_level::info, "coordinating",
+                    {{"group", this->name_}, {"token", static_cast<std::int64_t>(token)}});
+    this->tick();
+}
+
+void group_balancer::tick()
+{
+    if (this->stopped_ || this->fenced_) {
+        return;
+    }
+    const auto now = this->clock_.now();
+    if (this->rollout_) {
+        this->drive();
+    }
+    else if (now >= this->next_look_) {
+        this->next_look_ = now + this->options_.poll_interval;
+        this->look();
+    }
+    this->context_.after(tick_interval, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->tick();
+        }
+    });
+}
+
+void group_balancer::look()
+{
+    for (auto& set : this->loads_) {
+        std::ranges::for_each(set, [this](double& it) { it *= this->options_.memory; });
+    }
+    const auto every = std::max(1U, (this->shape_.ranks + this->options_.counted_ranks - 1) /
+                                        std::max(this->options_.counted_ranks, 1U));
+    for (unsigned rank = 0; rank < this->ranks_.size(); ++rank) {
+        if (std::exchange(this->ranks_[rank].asked, true)) {
+            continue;
+        }
+        rank_request request;
+        request.token = this->token_;
+        request.with_counts = rank % every == 0;
+        request.with_experts = !this->current_;
+        this->ranks_[rank].link->send(
+            request, [weak = this->weak_from_this(), rank](const rank_reply& reply) {
+                if (const auto self = weak.lock()) {
+                    self->on_look(rank, reply);
+                }
+            });
+    }
+}
+
+void group_balancer::on_look(unsigned rank, const rank_reply& reply)
+{
+    auto& it = this->ranks_[rank];
+    it.asked = false;
+    if (!reply.report || this->stopped_) {
+        return;
+    }
+    it.report = reply.report;
+    it.reported_at = this->clock_.now();
+    if (reply.experts) {
+        it.experts = reply.experts;
+    }
+    if (reply.counts) {
+        this->add_counts(it, *reply.counts);
+    }
+    if (this->rollout_ || !this->searches_.empty()) {
+        return;
+    }
+    const auto state = this->common_state();
+    if (!state) {
+        return;
+    }
+    this->update_current(*state);
+    if (!this->current_) {
+        return;
+    }
+    if (state->armed == this->current_->version && !state->held) {
+        return; // an idle group that switches with its next passes
+    }
+    if (state->armed || state->held) {
+        // An earlier coordinator left the group in the middle of a switch.
+        this->begin_rollout(*this->current_);
+        return;
+    }
+    if (this->clock_.now() >= this->next_search_) {
+        this->search(*state);
+    }
+}
+
+void group_balancer::add_counts(rank_state& rank, const std::vector<std::uint64_t>& counts)
+{
+    const auto size = std::size_t{this->shape_.sets} * this->shape_.experts;
+    if (counts.size() != size) {
+        this->log_.sample(log_level::warning, "counts of another size",
+                          {{"group", this->name_},
+                           {"expected", static_cast<std::int64_t>(size)},
+                           {"got", static_cast<std::int64_t>(counts.size())}});
+        return;
+    }
+    if (rank.counts && rank.counts->size() == size) {
+        for (std::size_t n = 0; n < size; ++n) {
+            // Counts that fell belong to an engine that has started anew.
+            const auto before = (*rank.counts)[n] <= counts[n] ? (*rank.counts)[n] : 0;
+            this->loads_[n / this->shape_.experts][n % this->shape_.experts] +=
+                static_cast<double>(counts[n] - before);
+        }
+    }
+    rank.counts = counts;
+}
+
+std::optional<policy::rank_report> group_balancer::common_state() const
+{
+    const auto now = this->clock_.now();
+    std::optional<policy::rank_report> common;
+    for (const auto& it : this->ranks_) {
+        if (!it.report || now - it.reported_at > state_age || !it.report->open) {
+            return std::nullopt;
+        }
+        if (!common) {
+            common = it.report;
+            continue;
+        }
+        if (it.report->epoch != common->epoch || it.report->map != common->map) {
+            return std::nullopt; // the reports are from before and after a change
+        }
+        common->armed = common->armed ? common->armed : it.report->armed;
+        common->held = common->held ? common->held : it.report->held;
+        common->step = std::max(common->step, it.report->step);
+    }
+    return common;
+}
+
+void group_balancer::update_current(const policy::rank_report& state)
+{
+    if (this->current_ && this->current_->version == state.map &&
+        this->current_epoch_ == state.epoch) {
+        return;
+    }
+    this->current_.reset();
+    if (state.map == 0) {
+        this->current_ = first_map(this->shape_);
+        this->current_epoch_ = state.epoch;
+        return;
+    }
+    // A map of an earlier coordinator: its content is what the ranks say they hold.
+    policy::expert_map map{
+        state.map, std::vector<policy::set_placement>(this->shape_.sets,
+                                                      policy::set_placement(this->shape_.ranks))};
+    for (unsigned rank = 0; rank < this->ranks_.size(); ++rank) {
+        const auto& experts = this->ranks_[rank].experts;
+        if (!experts || experts->version != state.map ||
+            experts->sets.size() != this->shape_.sets) {
+            return;
+        }
+        for (unsigned set = 0; set < this->shape_.sets; ++set) {
+            map.sets[set][rank] = experts->sets[set];
+        }
+    }
+    this->current_ = std::move(map);
+    this->current_epoch_ = state.epoch;
+}
+
+void group_balancer::search(const policy::rank_report& state)
+{
+    const bool enough = std::ranges::all_of(this->loads_, [this](const auto& set) {
+        return std::accumulate(set.begin(), set.end(), 0.0) >= this->options_.least_tokens;
+    });
+    if (!enough || state.epoch != this->current_epoch_) {
+        return;
+    }
+    this->skews_before_.clear();
+    for (unsigned set = 0; set < this->shape_.sets; ++set) {
+        this->searches_.emplace_back(this->shape_, this->current_->sets[set], this->loads_[set]);
+        this->skews_before_.push_back(this->searches_.back().skew());
+    }
+    this->searched_sets_ = 0;
+    this->search_on();
+}
+
+void group_balancer::search_on()
+{
+    if (this->stopped_ || this->fenced_ || this->rollout_) {
+        this->searches_.clear();
+        return;
+    }
+    if (this->searched_sets_ == this->searches_.size()) {
+        this->finish_search();
+        return;
+    }
+    if (!this->searches_[this->searched_sets_].improve_once(this->options_.min_gain)) {
+        ++this->searched_sets_;
+    }
+    this->context_.after(this->options_.search_pause, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) {
+            self->search_on();
+        }
+    });
+}
+
+double group_balancer::work(const std::vector<double>& skews) const
+{
+    const auto mean = std::accumulate(skews.begin(), skews.end(), 0.0) /
+                      static_cast<double>(std::max<std::size_t>(skews.size(), 1));
+    return 1 - this->options_.expert_part + this->options_.expert_part * mean;
+}
+
+void group_balancer::finish_search()
+{
+    policy::expert_map target;
+    std::vector<double> skews_after;
+    std::size_t copies = 0;
+    for (const auto& it : this->searches_) {
+        target.sets.push_back(it.placement());
+        skews_after.push_back(it.skew());
+        copies += it.copies();
+    }
+    this->searches_.clear();
+    const auto before = this->work(this->skews_before_);
+    const auto after = this->work(skews_after);
+    const auto saving = 1 - after / before;
+    const bool worthwhile = copies > 0 && saving >= this->options_.min_saving;
+    this->log_.sample(log_level::info, worthwhile ? "better placement" : "placement kept",
+                      {{"group", this->name_},
+                       {"work_before", before},
+                       {"work_after", after},
+                       {"copies", static_cast<std::int64_t>(copies)}});
+    this->next_search_ = this->clock_.now() + search_interval;
+    if (worthwhile) {
+        this->begin_rollout(std::move(target));
+    }
+}
+
+void group_balancer::begin_rollout(policy::expert_map target)
+{
+    target.version = (this->token_ << proposal_bits) + 2 * ++this->proposals_;
+    policy::rollout_options options;
+    options.least_step = this->used_step_ + 1;
+    this->rollout_started_ = this->clock_.now();
+    ++this->rollout_number_;
+    this->rollout_ = std::make_unique<policy::map_rollout>(this->shape_.ranks, this->current_epoch_,
+                                                           std::move(target), *this->current_,
+                                                           this->rollout_started_, options);
+    this->sent_round_ = this->rollout_->round();
+    this->next_order_ = {};
+    this->drive();
+}
+
+void group_balancer::drive()
+{
+    const auto now = this->clock_.now();
+    this->rollout_->on_time(now);
+    if (this->rollout_->is_over()) {
+        this->end_rollout();
+        return;
+    }
+    const bool new_round =
+        std::exchange(this->sent_round_, this->rollout_->round()) != this->rollout_->round();
+    if (new_round || now >= this->next_order_) {
+        this->next_order_ = now + this->options_.resend_interval;
+        for (const auto& order : this->rollout_->orders()) {
+            this->send_order(order);
+        }
+    }
+    if (new_round || now >= this->next_poll_) {
+        this->next_poll_ = now + this->options_.rollout_poll_interval;
+        for (const auto rank : this->rollout_->polls()) {
+            this->poll_rank(rank);
+        }
+    }
+}
+
+void group_balancer::send_order(const policy::addressed_order& order)
+{
+    rank_request request;
+    request.token = this->token_;
+    request.epoch = this->rollout_->epoch();
+    request.order = order.order;
+    this->ranks_[order.rank].link->send(
+        request, [weak = this->weak_from_this(), number = this->rollout_number_,
+                  round = this->rollout_->round(), order](const rank_reply& reply) {
+            if (const auto self = weak.lock()) {
+                self->on_rollout_reply(number, round, order.rank, order.order, reply);
+            }
+        });
+}
+
+void group_balancer::poll_rank(unsigned rank)
+{
+    rank_request request;
+    request.token = this->token_;
+    this->ranks_[rank].link->send(
+        request, [weak = this->weak_from_this(), number = this->rollout_number_,
+                  round = this->rollout_->round(), rank](const rank_reply& reply) {
+            if (const auto self = weak.lock()) {
+                self->on_rollout_reply(number, round, rank, std::nullopt, reply);
+            }
+        });
+}
+
+void group_balancer::on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
+                                      const std::optional<policy::rank_order>& order,
+                                      const rank_reply& reply)
+{
+    if (this->stopped_ || !this->rollout_ || rollout != this->rollout_number_) {
+        return;
+    }
+    if (order && reply.result == policy::order_result::fenced) {
+        this->fenced_ = true;
+        this->log_.note(
+            log_level::warning, "another coordinator has taken over",
+            {{"group", this->name_}, {"token", static_cast<std::int64_t>(this->token_)}});
+    }
+    if (reply.report) {
+        this->ranks_[rank].report = reply.report;
+        this->ranks_[rank].reported_at = this->clock_.now();
+    }
+    this->rollout_->on_reply(round, rank, order, reply.result, reply.report, this->clock_.now());
+    if (this->rollout_->is_over()) {
+        this->end_rollout();
+    }
+    else if (this->rollout_->round() != this->sent_round_) {
+        this->drive();
+    }
+}
+
+void group_balancer::end_rollout()
+{
+    const auto phase = this->rollout_->phase();
+    const auto now = this->clock_.now();
+    this->used_step_ = std::max(this->used_step_, this->rollout_->step());
+    const auto took =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - this->rollout_started_);
+    this->log_.note(phase == policy::rollout_phase::done ? log_level::info : log_level::warning,
+                    "switch of maps ended",
+                    {{"group", this->name_},
+                     {"version", static_cast<std::int64_t>(this->rollout_->target().version)},
+                     {"outcome", phase == policy::rollout_phase::done       ? "done"
+                                 : phase == policy::rollout_phase::given_up ? "given up"
+                                                                            : "lost"},
+                     {"step", static_cast<std::int64_t>(this->rollout_->step())},
+                     {"took_ms", static_cast<std::int64_t>(took.count())}});
+    if (phase == policy::rollout_phase::done) {
+        ++this->switches_;
+        this->current_ = this->rollout_->target();
+    }
+    else {
+        this->current_.reset();
+        for (auto& it : this->ranks_) {
+            it.experts.reset();
+        }
+    }
+    this->rollout_.reset();
+    // Counts were not read during the switch; what was chosen then counts as one look.
+    this->next_look_ = now;
+    this->next_search_ = now + search_interval;
+}
+
+} // namespace medlaryoke::experts
--- /dev/null
+++ b/Source/experts/group_balancer.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/event_log.h"
+#include "experts/rank_link.h"
+#include "policy/expert_map.h"
+#include "policy/map_rollout.h"
+#include "policy/placement_search.h"
+#include "transport/runtime.h"
+
+namespace medlaryoke::experts {
+
+struct balancer_options {
+    /// Between looks at the ranks. Popularity may shift within a few seconds.
+    duration poll_interval = std::chrono::milliseconds(400);
+    /// Ranks whose counts are read in one look; the others' requests choose alike.
+    unsigned counted_ranks = 24;
+    /// Part of the older counts that stays at each look.
+    double memory = 0.45;
+    /// Tokens of a set that must have been counted before its placement is searched.
+    double least_tokens = 4000;
+    /// Least fall of the highest load, in parts of the mean, that is worth one change.
+    double min_gain = 0.015;
+    /// Least part by which a switch must shorten the work of passes.
+    double min_saving = 0.05;
+    duration resend_interval = std::chrono::milliseconds(120);
+    duration rollout_poll_interval = std::chrono::milliseconds(60);
+    /// Between two steps of the search, so that requests are served in between.
+    duration search_pause = std::chrono::milliseconds(2);
+    double expert_part = 0.85; ///< part of the work for tokens that experts do
+};
+
+/// One rank of a group.
+struct rank_address {
+    std::string engine; ///< IP address and port
+    std::string agent;  ///< IP address and port
+
+    bool operator==(const rank_address&) const = default;
+};
+
+/// Keeps the experts of one lock-step group spread evenly over its ranks while popularity shifts:
+/// reads which experts requests choose, searches a better placement, and rolls it out. Acts only
+/// with a token; a holder of a higher one ends it. Used on the thread of a runtime with one thread.
+class group_balancer : public std::enable_shared_from_this<group_balancer> {
+public:
+    using engine_factory = std::function<std::unique_ptr<lockstep_engine>(const std::string&)>;
+
+    /// @param context runs the calls and timers
+    /// @param clock the time
+    /// @param name of the group
+    /// @param shape of the group
+    /// @param ranks addresses by rank
+    /// @param open_engine makes the way to an engine from afar
+    /// @param options times and thresholds
+    group_balancer(transport::runtime& context, const clock_source& clock, std::string name,
+                   const policy::group_shape& shape, std::vector<rank_address> ranks,
+                   const engine_factory& open_engine, balancer_options options = {});
+
+    /// Starts to act.
+    /// @param token higher than those of all earlier coordinators of the group
+    void start(std::uint64_t token);
+
+    /// Stops; orders under way end by themselves.
+    void stop() { this->stopped_ = true; }
+
+    /// @return whether another coordinator has taken over
+    [[nodiscard]] bool is_fenced() const { return this->fenced_; }
+
+    [[nodiscard]] const std::vector<rank_address>& ranks() const { return this->addresses_; }
+    [[nodiscard]] const policy::group_shape& shape() const { return this->shape_; }
+    [[nodiscard]] std::uint64_t switches() const { return this->switches_; }
+
+private:
+    struct rank_state {
+        std::shared_ptr<rank_link> link;
+        std::optional<policy::rank_report> report;
+        time_point reported_at{};
+        std::optional<std::vector<std::uint64_t>> counts; ///< as last read
+        std::uint64_t counts_epoch = 0;
+        std::optional<held_experts> experts;
+        bool asked = false; ///< a request is under way
+    };
+
+    void tick();
+    void look();
+    void on_look(unsigned rank, const rank_reply& reply);
+    void add_counts(rank_state& rank, const std::vector<std::uint64_t>& counts);
+    [[nodiscard]] std::optional<policy::rank_report> common_state() const;
+    void update_current(const policy::rank_report& state);
+    void search(const policy::rank_report& state);
+    void search_on();
+    void finish_search();
+    void begin_rollout(policy::expert_map target);
+    void drive();
+    void send_order(const policy::addressed_order& order);
+    void poll_rank(unsigned rank);
+    void on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
+                          const std::optional<policy::rank_order>& order, const rank_reply& reply);
+    void end_rollout();
+    [[nodiscard]] double work(const std::vector<double>& skews) const;
+
+    transport::runtime& context_;
+    const clock_source& clock_;
+    std::string name_;
+    policy::group_shape shape_;
+    std::vector<rank_address> addresses_;
+    balancer_options options_;
+    std::vector<rank_state> ranks_;
+    event_log log_{"experts"};
+    std::uint64_t token_ = 0;
+    bool stopped_ = false;
+    bool fenced_ = false;
+    std::uint64_t proposals_ = 0;
+    std::uint64_t switches_ = 0;
+    std::uint64_t used_step_ = 0;               ///< highest pass that a rollout of this token held
+    std::optional<policy::expert_map> current_; ///< in use; empty while it is unknown
+    std::uint64_t current_epoch_ = 0;
+    std::vector<std::vector<double>> loads_;         ///< by set and expert, smoothed
+    std::vector<policy::placement_search> searches_; ///< by set, while a search runs
+    std::vector<double> skews_before_;
+    std::size_t searched_sets_ = 0;
+    std::unique_ptr<policy::map_rollout> rollout_;
+    std::uint64_t rollout_number_ = 0;
+    std::uint64_t sent_round_ = 0;
+    time_point next_look_{};
+    time_point next_order_{};
+    time_point next_poll_{};
+    time_point next_search_{};
+    time_point rollout_started_{};
+};
+
+} // namespace medlaryoke::experts
--- /dev/null
+++ b/Source/experts/lockstep_engine.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+#include "policy/rank_order.h"
+
+namespace medlaryoke::experts {
+
+/// Which experts one rank holds.
+struct held_experts {
+    std::uint64_t version = 0;               ///< of the map
+    std::vector<std::vector<unsigned>> sets; ///< experts by set
+};
+
+/// The engine of one rank of a lock-step group, whose ranks share experts. Callbacks come on a
+/// worker thread of the runtime.
+class lockstep_engine {
+public:
+    lockstep_engine() = default;
+    lockstep_engine(const lockstep_engine&) = delete;
+    lockstep_engine& operator=(const lockstep_engine&) = delete;
+    lockstep_engine(lockstep_engine&&) = delete;
+    lockstep_engine& operator=(lockstep_engine&&) = delete;
+    virtual ~lockstep_engine() = default;
+
+    /// Gives an order.
+    /// @param order what to do
+    /// @param token fences orders with lower ones
+    /// @param epoch of the group; the order has no effect in another one
+    /// @param done called once
+    virtual void order(const policy::rank_order& order, std::uint64_t token, std::uint64_t epoch,
+                       std::function<void(policy::order_result)> done) = 0;
+
+    /// Reads the state of the rank.
+    /// @param done called once; empty if the engine does not answer
+    virtual void report(std::function<void(const std::optional<policy::rank_report>&)> done) = 0;
+
+    /// Reads how often the requests of this rank chose each expert since it started.
+    /// @param done called once with counts by set and expert; empty if it does not answer
+    virtual void
+    counts(std::function<void(const std::optional<std::vector<std::uint64_t>>&)> done) = 0;
+
+    /// Reads which experts the rank holds.
+    /// @param done called once; empty if the engine does not answer
+    virtual void experts(std::function<void(const std::optional<held_experts>&)> done) = 0;
+};
+
+} // namespace medlaryoke::experts
--- /dev/null
+++ b/Source/experts/rank_messages.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "experts/lockstep_engine.h"
+#include "policy/rank_order.h"
+
+namespace medlaryoke::experts {
+
+/// What a coordinator asks of a rank.
+struct rank_request {
+    std::uint64_t token = 0; ///< of the coordinator
+    std::uint64_t epoch = 0; ///< of the group, if there is an order
+    std::optional<policy::rank_order> order;
+    bool with_counts = false;
+    bool with_experts = false;
+};
+
+/// The answer of a rank. Parts that were not asked for or not had are empty.
+struct rank_reply {
+    policy::order_result result = policy::order_result::done;
+    std::optional<policy::rank_report> report; ///< read after the order
+    std::optional<std::vector<std::uint64_t>> counts;
+    std::optional<held_experts> experts;
+};
+
+/// @return the request as protobuf bytes
+std::string encode_rank_request(const rank_request& request);
+
+/// @return the request, empty if the bytes are damaged
+std::optional<rank_request> decode_rank_request(const std::string& bytes);
+
+/// @return the reply as protobuf bytes
+std::string encode_rank_reply(const rank_reply& reply);
+
+/// @return the reply, empty if the bytes are damaged
+std::optional<rank_reply> decode_rank_reply(const std::string& bytes);
+
+} // namespace medlaryoke::experts
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -36,6 +36,9 @@
 // Time for the last bytes of an answer to leave.
 constexpr auto flush_time = std::chrono::milliseconds(200);
 
+// A gateway that has just started hears the others first, before it takes itself for the only one.
+constexpr auto first_election = std::chrono::milliseconds(1500);
+
 std::uint64_t random_number()
 {
     std::random_device source;
@@ -57,7 +60,18 @@
 gateway_process::gateway_process(gateway_settings settings, deployment adapter)
     : settings_(std::move(settings)), adapter_(std::move(adapter)), config_(adapter_.decode_config),
       gateway_(context_, clock_, make_gateway_options(settings_, adapter_), config_),
-      registry_(settings_.upstream_return)
+      registry_(settings_.upstream_return),
+      coordination_(
+          context_, clock_,
+          [this](const std::string& group, std::function<void(std::optional<std::uint64_t>)> done) {
+              this->store_->put(this->adapter_.coordinators_topic, group, this->settings_.instance,
+                                [done = std::move(done)](std::optional<std::uint64_t> offset) {
+                                    done(offset ? std::optional(*offset + 1) : std::nullopt);
+                                });
+          },
+          [this](const std::string& address) {
+              return this->adapter_.open_engine(this->context_, address);
+          })
 {
 }
 
@@ -83,6 +97,7 @@
 
 void gateway_process::start()
 {
+    this->started_ = this->clock_.now();
     try {
         this->open_listeners();
         this->follow_store();
@@ -178,9 +193,9 @@
 void gateway_process::announce()
 {
     this->store_->put(this->adapter_.gateways_topic, this->settings_.instance,
-                      this->settings_.beat_address, [this](bool done) {
-                          this->announced_ = done;
-                          if (!done && !this->draining_) {
+                      this->settings_.beat_address, [this](std::optional<std::uint64_t> offset) {
+                          this->announced_ = offset.has_value();
+                          if (!offset && !this->draining_) {
                               this->context_.after(announce_retry, [this] { this->announce(); });
                           }
                       });
@@ -223,6 +238,7 @@
     options.idle_timeout = limits.idle_timeout;
     this->caller_server_->set_limits(options);
     this->gateway_.on_config();
+    this->update_upstreams();
     if (!was_ready && this->is_ready()) {
         this->log_.note(log_level::info, "ready", {});
         this->peers_->beat_now();
@@ -251,7 +267,29 @@
                                      : entry->draining ? "draining"
                                                        : "ready"}});
     }
-    this->gateway_.set_upstreams(this->registry_.upstreams());
+    this->update_upstreams();
+}
+
+void gateway_process::update_upstreams()
+{
+    const auto upstreams = this->registry_.upstreams();
+    this->gateway_.set_upstreams(upstreams);
+    if (this->config_.active().config) {
+        this->coordination_.update(upstreams, *this->config_.active().config);
+    }
+}
+
+void gateway_process::elect()
+{
+    // The first gateway by name that serves coordinates. If two take each other for dead, the
+    // token of the later one ends the earlier one.
+    const auto now = this->clock_.now();
+    const auto alive = this->peers_->table().alive(now);
+    const bool leads =
+        this->is_ready() && std::ranges::none_of(alive, [this](const policy::peer_beat& peer) {
+            return peer.serving && peer.instance < this->settings_.instance;
+        });
+    this->coordination_.lead(leads && now >= this->started_ + first_election, now);
 }
 
 void gateway_process::on_peers()
@@ -300,9 +338,10 @@
 void gateway_process::tick()
 {
     if (this->registry_.expire(this->clock_.now())) {
-        this->gateway_.set_upstreams(this->registry_.upstreams());
+        this->update_upstreams();
     }
     this->gateway_.tick();
+    this->elect();
     this->context_.after(tick_interval, [this] { this->tick(); });
 }
 
@@ -343,6 +382,7 @@
     metrics.set("ready", {}, this->is_ready() ? 1 : 0);
     metrics.set("peers_alive", {},
                 static_cast<double>(this->peers_->table().alive(this->clock_.now()).size()));
+    metrics.set("map_switches", {}, static_cast<double>(this->coordination_.switches()));
     metrics.set("log_lines_dropped", {}, static_cast<double>(dropped_log_lines()));
     return metrics.text();
 }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "experts/group_coordination.h"
 #include "gateway/config_state.h"
 #include "gateway/gateway.h"
 #include "gateway/keyed_log.h"
@@ -51,7 +52,11 @@
     std::string config_topic;
     std::string config_key;
     std::string upstreams_topic;
-    std::string gateways_topic; ///< written by the gateways
+    std::string gateways_topic;     ///< written by the gateways
+    std::string coordinators_topic; ///< written by coordinators; offsets are their tokens
+    std::function<std::unique_ptr<experts::lockstep_engine>(transport::runtime&,
+                                                            const std::string& address)>
+        open_engine; ///< makes the way to an engine from another machine
     std::function<std::unique_ptr<keyed_log>(transport::runtime&)> open_store;
     /// Reads the settings again; throws error if they cannot be read.
     std::function<gateway_settings()> reload_settings;
@@ -89,6 +94,8 @@
     void on_upstream_changes(const std::vector<policy::keyed_record>& changes);
     void on_peers();
     void fetch_config(const std::string& control_address);
+    void update_upstreams();
+    void elect();
     void apply_config(const std::string& record, std::string_view source);
     void tick();
     void reload();
@@ -110,6 +117,7 @@
     config_state config_;
     gateway gateway_;
     policy::upstream_registry registry_;
+    experts::group_coordination coordination_;
     std::shared_ptr<peer_exchange> peers_;
     std::shared_ptr<topic_follower> config_feed_;
     std::shared_ptr<topic_follower> upstream_feed_;
@@ -119,6 +127,7 @@
     std::unique_ptr<transport::http_server> control_server_;
     std::unique_ptr<transport::http_server> metrics_server_;
     std::unique_ptr<transport::http_client> config_client_; ///< of the peer that is asked
+    time_point started_{};
     time_point last_request_{};
     time_point last_busy_{};                     ///< when a request was last seen open
     std::optional<time_point> peer_ahead_since_; ///< in the list of upstreams
--- a/Source/gateway/keyed_log.h
+++ b/Source/gateway/keyed_log.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -55,9 +56,9 @@
     /// @param topic name of the topic
     /// @param key at most 255 bytes
     /// @param value not empty
-    /// @param done called once with whether the store acknowledged it
+    /// @param done called once with the record's offset; empty if the store did not acknowledge it
     virtual void put(const std::string& topic, const std::string& key, const std::string& value,
-                     std::function<void(bool)> done) = 0;
+                     std::function<void(std::optional<std::uint64_t>)> done) = 0;
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/model/route_config.h
+++ b/Source/model/route_config.h
@@ -52,11 +52,20 @@
     unsigned usual_answer = 0; ///< mean tokens of an answer
 };
 
+/// How the engines of a service hold experts.
+struct expert_layout {
+    unsigned sets = 0;       ///< of layers that are placed alike
+    unsigned experts = 0;    ///< in each set
+    unsigned placements = 0; ///< experts that a rank holds at most, in each set
+    unsigned spare = 0;      ///< experts that a rank can take in for one switch, in each set
+};
+
 /// A group of upstreams that serve the same requests.
 struct routed_service {
     std::string name;
     std::size_t max_connections = 0; ///< an upstream accepts from all callers together; 0: unknown
     std::optional<engine_pace> engine;
+    std::optional<expert_layout> experts; ///< of engines in lock-step groups
 };
 
 /// Bounds on what callers may send.
--- a/Source/model/upstream_entry.h
+++ b/Source/model/upstream_entry.h
@@ -11,7 +11,8 @@
     std::string group;
     std::uint64_t epoch = 0; ///< grows each time the group forms
     unsigned rank = 0;
-    bool open = true; ///< false while a rank is missing
+    unsigned size = 0; ///< number of ranks
+    bool open = true;  ///< false while a rank is missing
     bool operator==(const group_membership&) const = default;
 };
 
@@ -19,7 +20,8 @@
 struct upstream_entry {
     std::string id; ///< of one incarnation; now and then used again by the next one
     std::string service;
-    std::string address; ///< IP address and port
+    std::string address;       ///< IP address and port
+    std::string agent_address; ///< of the agent beside it; empty if there is none
     std::string data_centre;
     unsigned slots = 1;          ///< requests that it serves at once
     bool draining = false;       ///< gets no new requests
