experts: Wait for the lag of reports that are read from another machine

The agent of a rank was frozen; the next coordinator read that rank's report straight from the engine, which is some 200 ms old from another machine, saw nobody armed and lifted the hold, while an order that the frozen agent had passed on meanwhile had armed the rank.

Ruled out: the fence (the engine refuses lower tokens also after an order that changed nothing), stale reports of agents, steps shared by two rollouts.

Change: a report from afar is read after the lag that the configuration states and 100 ms more; one request a rank and round is under way at a time; no switch begins while a rank is reached from afar only. Phases of a switch and orders at agents are logged.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -37,15 +37,15 @@
 group_balancer::group_balancer(transport::runtime& context, const clock_source& clock,
                                std::string name, const policy::group_shape& shape,
                                std::vector<rank_address> ranks, const engine_factory& open_engine,
-                               balancer_options options)
+                               duration report_lag, balancer_options options)
     : context_(context), clock_(clock), name_(std::move(name)), shape_(shape),
       addresses_(std::move(ranks)), options_(options),
       loads_(shape.sets, std::vector<double>(shape.experts))
 {
     for (const auto& address : this->addresses_) {
         rank_state rank;
-        rank.link =
-            std::make_shared<rank_link>(context, clock, address.agent, open_engine(address.engine));
+        rank.link = std::make_shared<rank_link>(context, clock, address.agent,
+                                                open_engine(address.engine), report_lag);
         this->ranks_.push_back(std::move(rank));
     }
 }
@@ -136,7 +136,10 @@
         this->begin_rollout(*this->current_);
         return;
     }
-    if (this->clock_.now() >= this->next_search_) {
+    // While a rank is reached from afar only, a switch would keep the group waiting.
+    const bool all_near = std::ranges::none_of(
+        this->ranks_, [](const auto& rank_state) { return rank_state.link->is_agent_silent(); });
+    if (all_near && this->clock_.now() >= this->next_search_) {
         this->search(*state);
     }
 }
@@ -311,52 +314,57 @@
     }
     const bool new_round =
         std::exchange(this->sent_round_, this->rollout_->round()) != this->rollout_->round();
+    if (new_round) {
+        this->log_.note(log_level::info, "switch of maps",
+                        {{"group", this->name_},
+                         {"phase", policy::to_string(this->rollout_->phase())},
+                         {"version", static_cast<std::int64_t>(this->rollout_->target().version)},
+                         {"step", static_cast<std::int64_t>(this->rollout_->step())}});
+    }
     if (new_round || now >= this->next_order_) {
         this->next_order_ = now + this->options_.resend_interval;
         for (const auto& order : this->rollout_->orders()) {
-            this->send_order(order);
+            this->send(order.rank, order.order);
         }
     }
     if (new_round || now >= this->next_poll_) {
         this->next_poll_ = now + this->options_.rollout_poll_interval;
         for (const auto rank : this->rollout_->polls()) {
-            this->poll_rank(rank);
+            this->send(rank, std::nullopt);
         }
     }
 }
 
-void group_balancer::send_order(const policy::addressed_order& order)
+void group_balancer::send(unsigned rank, const std::optional<policy::rank_order>& order)
 {
+    auto& it = this->ranks_[rank];
+    const auto round = this->rollout_->round();
+    if (it.sent && it.sent_rollout == this->rollout_number_ && it.sent_round == round) {
+        return; // not yet answered, or not yet given up
+    }
+    it.sent = true;
+    it.sent_rollout = this->rollout_number_;
+    it.sent_round = round;
     rank_request request;
     request.token = this->token_;
     request.epoch = this->rollout_->epoch();
-    request.order = order.order;
-    this->ranks_[order.rank].link->send(
-        request, [weak = this->weak_from_this(), number = this->rollout_number_,
-                  round = this->rollout_->round(), order](const rank_reply& reply) {
-            if (const auto self = weak.lock()) {
-                self->on_rollout_reply(number, round, order.rank, order.order, reply);
-            }
-        });
-}
-
-void group_balancer::poll_rank(unsigned rank)
-{
-    rank_request request;
-    request.token = this->token_;
-    this->ranks_[rank].link->send(
-        request, [weak = this->weak_from_this(), number = this->rollout_number_,
-                  round = this->rollout_->round(), rank](const rank_reply& reply) {
-            if (const auto self = weak.lock()) {
-                self->on_rollout_reply(number, round, rank, std::nullopt, reply);
-            }
-        });
+    request.order = order;
+    it.link->send(request, [weak = this->weak_from_this(), number = this->rollout_number_, round,
+                            rank, order](const rank_reply& reply) {
+        if (const auto self = weak.lock()) {
+            self->on_rollout_reply(number, round, rank, order, reply);
+        }
+    });
 }
 
 void group_balancer::on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
                                       const std::optional<policy::rank_order>& order,
                                       const rank_reply& reply)
 {
+    auto& it = this->ranks_[rank];
+    if (it.sent_rollout == rollout && it.sent_round == round) {
+        it.sent = false;
+    }
     if (this->stopped_ || !this->rollout_ || rollout != this->rollout_number_) {
         return;
     }
@@ -367,8 +375,8 @@
             {{"group", this->name_}, {"token", static_cast<std::int64_t>(this->token_)}});
     }
     if (reply.report) {
-        this->ranks_[rank].report = reply.report;
-        this->ranks_[rank].reported_at = this->clock_.now();
+        it.report = reply.report;
+        it.reported_at = this->clock_.now();
     }
     this->rollout_->on_reply(round, rank, order, reply.result, reply.report, this->clock_.now());
     if (this->rollout_->is_over()) {
@@ -390,9 +398,7 @@
                     "switch of maps ended",
                     {{"group", this->name_},
                      {"version", static_cast<std::int64_t>(this->rollout_->target().version)},
-                     {"outcome", phase == policy::rollout_phase::done       ? "done"
-                                 : phase == policy::rollout_phase::given_up ? "given up"
-                                                                            : "lost"},
+                     {"outcome", policy::to_string(phase)},
                      {"step", static_cast<std::int64_t>(this->rollout_->step())},
                      {"took_ms", static_cast<std::int64_t>(took.count())}});
     if (phase == policy::rollout_phase::done) {
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -62,10 +62,12 @@
     /// @param shape of the group
     /// @param ranks addresses by rank
     /// @param open_engine makes the way to an engine from afar
+    /// @param report_lag how old a report that is read from afar may be
     /// @param options times and thresholds
     group_balancer(transport::runtime& context, const clock_source& clock, std::string name,
                    const policy::group_shape& shape, std::vector<rank_address> ranks,
-                   const engine_factory& open_engine, balancer_options options = {});
+                   const engine_factory& open_engine, duration report_lag,
+                   balancer_options options = {});
 
     /// Starts to act.
     /// @param token higher than those of all earlier coordinators of the group
@@ -89,7 +91,10 @@
         std::optional<std::vector<std::uint64_t>> counts; ///< as last read
         std::uint64_t counts_epoch = 0;
         std::optional<held_experts> experts;
-        bool asked = false; ///< a request is under way
+        bool asked = false;             ///< a request of a look is under way
+        std::uint64_t sent_rollout = 0; ///< rollout and round of the last request sent, until it
+        std::uint64_t sent_round = 0;   ///< is answered
+        bool sent = false;
     };
 
     void tick();
@@ -103,8 +108,7 @@
     void finish_search();
     void begin_rollout(policy::expert_map target);
     void drive();
-    void send_order(const policy::addressed_order& order);
-    void poll_rank(unsigned rank);
+    void send(unsigned rank, const std::optional<policy::rank_order>& order);
     void on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
                           const std::optional<policy::rank_order>& order, const rank_reply& reply);
     void end_rollout();
--- a/Source/experts/group_coordination.cxx
+++ b/Source/experts/group_coordination.cxx
@@ -11,9 +11,13 @@
 // cannot see each other do not take over from each other all the time.
 constexpr auto retry_pause = std::chrono::seconds(2);
 
+// A round trip between data centres and a timer that fires late.
+constexpr auto report_lag_margin = std::chrono::milliseconds(100);
+
 struct known_group {
     policy::group_shape shape;
     std::vector<rank_address> ranks;
+    duration report_lag{};
 };
 
 /// @return groups of which every rank is in the list
@@ -31,6 +35,7 @@
         auto& group = groups[entry.group->group];
         group.shape = {entry.group->size, layout.sets, layout.experts, layout.placements,
                        layout.spare};
+        group.report_lag = layout.report_lag + report_lag_margin;
         group.ranks.resize(entry.group->size);
         group.ranks[entry.group->rank] = {entry.address, entry.agent_address};
     }
@@ -70,6 +75,7 @@
         auto& it = this->groups_[name];
         it.shape = group.shape;
         it.ranks = group.ranks;
+        it.report_lag = group.report_lag;
     }
 }
 
@@ -113,7 +119,7 @@
             return;
         }
         it.balancer = std::make_shared<group_balancer>(this->context_, this->clock_, name, it.shape,
-                                                       it.ranks, this->open_engine_);
+                                                       it.ranks, this->open_engine_, it.report_lag);
         it.balancer->start(*token);
     });
 }
--- a/Source/experts/group_coordination.h
+++ b/Source/experts/group_coordination.h
@@ -50,6 +50,7 @@
     struct group_state {
         policy::group_shape shape;
         std::vector<rank_address> ranks;
+        duration report_lag{};                    ///< of reports that are read from afar
         std::shared_ptr<group_balancer> balancer; ///< null: not coordinating
         time_point next_try{};
         bool asking = false; ///< for a token
--- a/Source/experts/lockstep_engine.h
+++ b/Source/experts/lockstep_engine.h
@@ -34,7 +34,7 @@
     virtual void order(const policy::rank_order& order, std::uint64_t token, std::uint64_t epoch,
                        std::function<void(policy::order_result)> done) = 0;
 
-    /// Reads the state of the rank.
+    /// Reads the state of the rank. From another machine it may be some hundred ms old.
     /// @param done called once; empty if the engine does not answer
     virtual void report(std::function<void(const std::optional<policy::rank_report>&)> done) = 0;
 
--- a/Source/experts/rank_agent.cxx
+++ b/Source/experts/rank_agent.cxx
@@ -68,7 +68,19 @@
         throw error(error_kind::invalid_argument, "the rank request is damaged",
                     "Run the same version of medlaryoke on all machines.");
     }
-    const auto answer = [response](const rank_reply& reply) {
+    const auto answer = [this, response, request](const rank_reply& reply) {
+        if (request->order) {
+            this->log_.sample(
+                log_level::info, "order passed on",
+                {{"order", policy::order_name(*request->order)},
+                 {"token", static_cast<std::int64_t>(request->token)},
+                 {"result", policy::to_string(reply.result)},
+                 {"step", static_cast<std::int64_t>(reply.report ? reply.report->step : 0)},
+                 {"armed",
+                  static_cast<std::int64_t>(reply.report ? reply.report->armed.value_or(0) : 0)},
+                 {"held",
+                  static_cast<std::int64_t>(reply.report ? reply.report->held.value_or(0) : 0)}});
+        }
         response->respond({{200, {}}, encode_rank_reply(reply)});
     };
     if (request->order && request->token < this->token_) {
--- a/Source/experts/rank_link.cxx
+++ b/Source/experts/rank_link.cxx
@@ -17,19 +17,17 @@
 } // namespace
 
 rank_link::rank_link(transport::runtime& context, const clock_source& clock,
-                     const std::string& agent_address, std::unique_ptr<lockstep_engine> engine)
-    : clock_(clock), agent_(context, agent_address), engine_(std::move(engine))
+                     const std::string& agent_address, std::unique_ptr<lockstep_engine> engine,
+                     duration report_lag)
+    : context_(context), clock_(clock), report_lag_(report_lag), agent_(context, agent_address),
+      engine_(std::move(engine))
 {
 }
 
 void rank_link::send(const rank_request& request, std::function<void(rank_reply)> done)
 {
-    if (this->clock_.now() < this->agent_silent_until_) {
-        auto from_afar = request;
-        from_afar.with_counts = false;
-        serve_rank_request(*this->engine_, from_afar,
-                           [self = this->shared_from_this(),
-                            done = std::move(done)](const rank_reply& reply) { done(reply); });
+    if (this->is_agent_silent()) {
+        this->send_from_afar(request, std::move(done));
         return;
     }
     this->agent_.fetch(
@@ -48,4 +46,27 @@
         });
 }
 
+void rank_link::send_from_afar(rank_request request, std::function<void(rank_reply)> done)
+{
+    request.with_counts = false;
+    const auto self = this->shared_from_this();
+    // A report that is read at once may show the state before the order, so that a switch goes on
+    // although this rank is armed or not armed.
+    const auto read_later = [self, request, done = std::move(done)](policy::order_result result) {
+        auto read = request;
+        read.order.reset();
+        self->context_.after(self->report_lag_, [self, read, result, done] {
+            serve_rank_request(*self->engine_, read, [self, result, done](rank_reply reply) {
+                reply.result = result;
+                done(std::move(reply));
+            });
+        });
+    };
+    if (!request.order) {
+        read_later(policy::order_result::done);
+        return;
+    }
+    this->engine_->order(*request.order, request.token, request.epoch, read_later);
+}
+
 } // namespace medlaryoke::experts
--- a/Source/policy/map_rollout.cxx
+++ b/Source/policy/map_rollout.cxx
@@ -1,6 +1,7 @@
 #include "policy/map_rollout.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace medlaryoke::policy {
@@ -11,6 +12,14 @@
 
 } // namespace
 
+std::string_view to_string(rollout_phase phase)
+{
+    constexpr std::array<std::string_view, 13> names{
+        "fence",  "release", "prepare", "hold", "arm",      "go",  "verify",
+        "disarm", "replace", "lift",    "done", "given_up", "lost"};
+    return names.at(static_cast<std::size_t>(phase));
+}
+
 map_rollout::map_rollout(unsigned ranks, std::uint64_t epoch, expert_map target, expert_map current,
                          time_point now, rollout_options options)
     : options_(options), epoch_(epoch), target_(std::move(target)), fallback_(std::move(current)),
--- a/Source/policy/map_rollout.h
+++ b/Source/policy/map_rollout.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -39,6 +40,9 @@
     lost,     ///< fenced by another coordinator, or the group formed anew; nothing may be sent
 };
 
+/// @return name of a phase, for logs
+std::string_view to_string(rollout_phase phase);
+
 /// An order for one rank.
 struct addressed_order {
     unsigned rank = 0;
--- a/Source/policy/rank_order.h
+++ b/Source/policy/rank_order.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -42,6 +43,9 @@
 
 using rank_order = std::variant<prepare_order, arm_order, disarm_order, hold_order, go_order>;
 
+/// @return name of an order, for logs
+std::string_view order_name(const rank_order& order);
+
 /// How an engine answered an order.
 enum class order_result {
     done,       ///< begun, or the state already holds
@@ -50,6 +54,9 @@
     unanswered, ///< may have been obeyed, or may be obeyed later
 };
 
+/// @return name of a result, for logs
+std::string_view to_string(order_result result);
+
 /// What an engine reports of its rank.
 struct rank_report {
     std::uint64_t epoch = 0; ///< grows each time the group forms; maps and orders end with it
--- /dev/null
+++ b/Tests/experts/test_rank_link.cxx
@@ -0,0 +1,49 @@
+#include "experts/rank_link.h"
+
+#include <chrono>
+#include <future>
+
+#include <criterion/criterion.h>
+
+#include "experts/fake_lockstep_engine.h"
+#include "fakes/raw_socket.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::experts;
+using namespace std::chrono_literals;
+
+// Guards against a pass with two maps: an engine's report is old when it is read from another
+// machine, so a rank that was armed in the meantime looked as if it was not, and the hold was
+// lifted.
+Test(rank_link, reads_from_afar_only_what_is_newer_than_the_order)
+{
+    constexpr auto lag = 300ms;
+    std::string closed_address;
+    {
+        const fakes::raw_listener closed;
+        closed_address = closed.address();
+    }
+    transport::runtime context(1);
+    const system_clock_source clock;
+    auto owned = std::make_unique<fakes::fake_lockstep_engine>();
+    const auto& engine = *owned;
+    const auto link =
+        std::make_shared<rank_link>(context, clock, closed_address, std::move(owned), lag);
+    context.start();
+    const auto send = [&link](const rank_request& request) {
+        std::promise<rank_reply> promise;
+        link->send(request, [&promise](rank_reply reply) { promise.set_value(std::move(reply)); });
+        return promise.get_future().get();
+    };
+    rank_request request;
+    request.token = 1;
+    request.order = policy::disarm_order{9};
+    request.with_counts = true;
+    cr_assert(send(request).result == policy::order_result::unanswered); // the agent is away
+    const auto reply = send(request);
+    cr_assert(reply.result == policy::order_result::done);
+    cr_assert(reply.report.has_value());
+    cr_assert(engine.report_delay() >= lag);
+    cr_assert(!reply.counts && engine.counts_read == 0); // reading them would stop the group
+    context.stop();
+}
