gateway: Notice the return of the store at once

After an outage the follower asked with its usual wait, so the store counted as back only with the next record, which was the upstream's leaving; the entry was then kept as one that lapsed in the outage.

Change: while the store counts as away, reads do not wait. A test with a fake store fails without the change.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -138,7 +138,7 @@
     }
     // While a rank is reached from afar only, a switch would keep the group waiting.
     const bool all_near = std::ranges::none_of(
-        this->ranks_, [](const auto& rank_state) { return rank_state.link->is_agent_silent(); });
+        this->ranks_, [](const auto& other) { return other.link->is_agent_silent(); });
     if (all_near && this->clock_.now() >= this->next_search_) {
         this->search(*state);
     }
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -40,7 +40,10 @@
         this->store_.list(this->options_.topic, done);
     }
     else {
-        this->store_.read(this->options_.topic, this->topic_.next(), this->options_.wait, done);
+        // After an outage the store's return must be noticed at once and not with the next record,
+        // because the time of the return decides how removed entries are taken.
+        const auto wait = this->available_ ? this->options_.wait : duration::zero();
+        this->store_.read(this->options_.topic, this->topic_.next(), wait, done);
     }
 }
 
--- /dev/null
+++ b/Tests/gateway/test_topic_follower.cxx
@@ -0,0 +1,108 @@
+#include "gateway/topic_follower.h"
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "fakes/fake_keyed_log.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A follower of a fake store, and what it told.
+struct followed_topic {
+    followed_topic()
+    {
+        follower_options options;
+        options.topic = "t";
+        options.first_retry = 1ms;
+        options.spacing = 0ms;
+        follower = std::make_shared<topic_follower>(
+            context, store, options,
+            [this](const std::vector<policy::keyed_record>& records) {
+                const std::scoped_lock lock(mutex);
+                for (const auto& it : records) {
+                    changes.push_back(it.key + "=" + it.value);
+                }
+            },
+            [this](bool available) {
+                const std::scoped_lock lock(mutex);
+                changes.push_back(available ? "back" : "away");
+            });
+        context.start();
+        context.post([this] { follower->start(); });
+    }
+    followed_topic(const followed_topic&) = delete;
+    followed_topic& operator=(const followed_topic&) = delete;
+    followed_topic(followed_topic&&) = delete;
+    followed_topic& operator=(followed_topic&&) = delete;
+    ~followed_topic() { context.stop(); }
+
+    /// Answers the next call of a kind.
+    fakes::fake_keyed_log::call answer(const std::string& what, const keyed_result& result)
+    {
+        auto call = store.next();
+        cr_assert(call.what == what, "%s instead of %s", call.what.c_str(), what.c_str());
+        context.post([done = call.done, result] { done(result); });
+        return call;
+    }
+
+    fakes::fake_keyed_log store;
+    transport::runtime context{1};
+    std::shared_ptr<topic_follower> follower;
+    std::mutex mutex;
+    std::vector<std::string> changes;
+};
+
+} // namespace
+
+// Guards against a store whose return is noticed only with the next record, so that an upstream
+// that leaves long after the outage is taken for one that lapsed in it and gets more requests.
+Test(topic_follower, notices_the_return_of_the_store_at_once)
+{
+    followed_topic topic;
+    topic.answer("list", keyed_records{{{"a", "1", 0}}, 1});
+    cr_assert(topic.answer("read", keyed_unavailable{"down"}).wait > 0ms);
+    cr_assert(topic.answer("read", keyed_unavailable{"down"}).wait == 0ms);
+    cr_assert(topic.answer("read", keyed_records{{}, 1}).wait == 0ms);
+    const auto next = topic.store.next();
+    cr_assert(next.wait > 0ms && next.from == 1);
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1", "away", "back"}));
+}
+
+// Guards against changes that are missed when the store deletes records that were not read yet.
+Test(topic_follower, lists_again_when_records_were_deleted)
+{
+    followed_topic topic;
+    topic.answer("list", keyed_records{{{"a", "1", 0}, {"b", "1", 1}}, 2});
+    topic.answer("read", keyed_expired{});
+    topic.answer("list", keyed_records{{{"b", "2", 9}}, 10});
+    cr_assert(topic.store.next().from == 10);
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1", "b=1", "b=2", "a="}));
+}
+
+// Guards against a connection to the store that went silent while peers go on reading.
+Test(topic_follower, reads_again_when_a_peer_is_ahead)
+{
+    followed_topic topic;
+    topic.answer("list", keyed_records{{}, 3});
+    const auto silent = topic.store.next();
+    topic.context.post([&topic] { topic.follower->catch_up(3); });
+    topic.context.post([&topic] { topic.follower->catch_up(4); });
+    topic.answer("read", keyed_records{{{"a", "1", 3}}, 4});
+    cr_assert(topic.store.next().from == 4);
+    topic.context.post([&silent] { silent.done(keyed_unavailable{"timed out"}); });
+    topic.context.post([&topic] { topic.follower->catch_up(5); });
+    topic.answer("read", keyed_records{{}, 4}); // the late failure of the silent read is ignored
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1"}));
+}
