--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -32,6 +32,10 @@
                      const std::shared_ptr<transport::response_stream>& response)
 {
     try {
+        if (this->closed_) {
+            throw error(error_kind::unavailable, "this gateway is about to end",
+                        "Repeat the request at another gateway.");
+        }
         // The message is moved only once the filters cannot refuse it any more.
         auto request = this->filters_.apply(message, this->config_.active(), this->clock_.now());
         request.number = ++this->last_number_;
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -46,6 +46,9 @@
     void handle(transport::http_request message,
                 const std::shared_ptr<transport::response_stream>& response);
 
+    /// Refuses requests that come from now on, because there is no time left to finish them.
+    void close() { this->closed_ = true; }
+
     /// Takes over a new configuration.
     void on_config();
 
@@ -86,6 +89,7 @@
     std::mt19937_64 random_;
     std::uint64_t last_number_ = 0;
     std::size_t sharers_ = 1;
+    bool closed_ = false;
     std::unordered_map<std::uint64_t, unsigned> remote_load_;
     std::map<std::string, std::vector<model::upstream_entry>> upstreams_; ///< by service
     std::map<std::string, std::shared_ptr<service_dispatcher>> services_;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -29,6 +29,10 @@
 // Part of the grace after which a draining process ends in any case, before it is killed.
 constexpr auto kill_margin = std::chrono::milliseconds(400);
 
+// Part of the grace after which a draining process takes no further requests: the longest streams
+// take the rest of it.
+constexpr double open_part_of_grace = 0.36;
+
 // A draining process without open requests stays for callers that still hold its address: answers
 // of a directory are kept for a few seconds.
 constexpr auto quiet_before_end = std::chrono::milliseconds(1500);
@@ -421,6 +425,9 @@
     this->caller_server_->drain(transport::drain_mode::serve_late);
     const auto now = this->clock_.now();
     this->last_request_ = std::max(this->last_request_, now);
+    this->context_.after(
+        std::chrono::duration_cast<duration>(this->settings_.grace * open_part_of_grace),
+        [this] { this->gateway_.close(); });
     this->end_when_idle(now + this->settings_.grace - kill_margin);
 }
 
