policy: Predict passes, so that one long pass does not make every stream late

Change: pace_limit estimates the work of a pass over that of an even group from the shorter pauses; it limits running requests for at least 2.6 times the even work, and the prompt tokens that one engine reads at a time by what fits into the pause. A switch of maps takes a wider margin once an order was unanswered. Log lines of late answers state their first event and longest pause.

--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -187,14 +187,16 @@
     }
     const auto now = this->service_->clock().now();
     if (!std::exchange(this->started_, true)) {
-        this->service_->metrics().observe("first_event", {}, now - this->details_.arrived);
+        this->first_event_ = now - this->details_.arrived;
+        this->service_->metrics().observe("first_event", {}, this->first_event_);
         this->response_->start(forwarded(it.head));
     }
     if (std::exchange(it.has_event, true)) {
+        this->longest_gap_ = std::max<duration>(this->longest_gap_, now - it.heard);
         this->service_->on_gap(now - it.heard);
     }
     else {
-        this->service_->on_started(it.target.key);
+        this->service_->on_started(it.target.key, this->details_.prompt_tokens);
         this->service_->on_result(it.target.key, policy::call_outcome::succeeded, now - it.sent);
     }
     it.heard = now;
@@ -282,7 +284,7 @@
     const auto ended = std::exchange(this->attempt_, std::nullopt);
     ended->exchange->cancel();
     this->service_->on_result(ended->target.key, outcome, latency);
-    this->service_->on_end(ended->target.key, ended->has_event);
+    this->service_->on_end(ended->target.key, ended->has_event ? 0 : this->details_.prompt_tokens);
 }
 
 void proxied_request::attempt_failed(attempt_end how, std::string reason)
@@ -465,11 +467,15 @@
     this->service_->metrics().count(
         "requests_ended", fmt::format("service=\"{}\",route=\"{}\",outcome=\"{}\"",
                                       this->service_->name(), this->details_.route->name, outcome));
-    const bool ordinary = outcome == "answered" && this->attempts_ == 1;
+    const auto& route = *this->details_.route;
+    const auto latency = route.is_stream ? this->first_event_ : now - this->details_.arrived;
+    const bool late = latency > route.target_latency || (route.target_gap > duration::zero() &&
+                                                         this->longest_gap_ > route.target_gap);
+    const bool ordinary = outcome == "answered" && this->attempts_ == 1 && !late;
     this->log_.sample(
         ordinary ? log_level::debug : log_level::info, "request ended",
         {{"id", this->details_.id},
-         {"route", this->details_.route->name},
+         {"route", route.name},
          {"service", this->service_->name()},
          {"organisation", this->details_.organisation},
          {"priority", static_cast<std::int64_t>(this->details_.priority)},
@@ -479,6 +485,10 @@
          {"attempts", static_cast<std::int64_t>(this->attempts_)},
          {"events", static_cast<std::int64_t>(this->events_.events())},
          {"took_ms", ms(now - this->details_.arrived)},
+         {"first_event_ms", ms(this->first_event_)},
+         {"longest_gap_ms", ms(this->longest_gap_)},
+         {"late", late},
+         {"run_limit", this->service_->pace().run_limit()},
          {"waiting", static_cast<std::int64_t>(this->service_->scheduler().waiting())},
          {"running", static_cast<std::int64_t>(this->service_->scheduler().running())},
          {"reason", reason}});
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -103,6 +103,8 @@
     transport::event_splitter events_;
     std::optional<transport::http_response> fallback_; ///< a failure that an upstream answered
     std::string last_reason_;
+    duration first_event_{}; ///< from the request's arrival
+    duration longest_gap_{}; ///< between two events
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/request_filters.cxx
+++ b/Source/gateway/request_filters.cxx
@@ -47,6 +47,7 @@
     find_route(request, active);
     authenticate(request);
     this->limit_time(request);
+    this->read_size(request);
     this->clean_headers(request);
     return request;
 }
@@ -101,6 +102,15 @@
     }
 }
 
+void request_filters::read_size(routed_request& request) const
+{
+    const auto text = transport::find_header(request.message.headers, this->protocol_.token_usage);
+    unsigned tokens = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), tokens).ec == std::errc{}) {
+        request.prompt_tokens = tokens;
+    }
+}
+
 void request_filters::clean_headers(routed_request& request) const
 {
     auto& headers = request.message.headers;
--- a/Source/gateway/request_filters.h
+++ b/Source/gateway/request_filters.h
@@ -38,6 +38,7 @@
     static void find_route(routed_request& request, const active_config& active);
     static void authenticate(routed_request& request);
     void limit_time(routed_request& request) const;
+    void read_size(routed_request& request) const;
     void clean_headers(routed_request& request) const;
 
     const caller_protocol& protocol_;
--- a/Source/gateway/routed_request.h
+++ b/Source/gateway/routed_request.h
@@ -20,6 +20,7 @@
     std::string organisation;       ///< empty on public routes
     unsigned organisation_rank = 0; ///< goes before the priority; 0 is the most urgent
     unsigned priority = 0;          ///< of the route; 0 is the most urgent
+    double prompt_tokens = 0;       ///< 0: unknown, or no generation
     time_point arrived{};
     time_point deadline{};           ///< the earlier of the caller's and the route's
     transport::http_request message; ///< without headers that concern one connection or the key
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -75,8 +75,8 @@
     const auto& details = request->details();
     this->waiting_[details.number] = request;
     this->scheduler_.push({details.number, details.organisation_rank, details.priority, repeated,
-                           details.route->repeat != model::repeat_rule::unsafe, details.arrived,
-                           wait_until, excluded});
+                           details.route->repeat != model::repeat_rule::unsafe,
+                           details.prompt_tokens, details.arrived, wait_until, excluded});
     this->dispatch();
 }
 
@@ -103,19 +103,19 @@
                                                           : std::min(longest_gap, route.target_gap);
         }
     }
-    this->pace_.configure(found->second.engine->step * found->second.engine->steps_per_pass,
-                          longest_gap);
+    this->pace_.configure(*found->second.engine, longest_gap);
 }
 
 void service_dispatcher::on_gap(duration gap)
 {
-    this->pace_.on_gap(gap, this->scheduler_.mean_running(), this->clock_.now());
-    this->scheduler_.set_run_limit(this->pace_.limit());
+    const auto running = this->scheduler_.mean_running();
+    this->pace_.on_gap(gap, running, this->scheduler_.listed(), this->clock_.now());
+    this->scheduler_.set_limits(this->pace_.run_limit(), this->pace_.read_limit(running));
 }
 
-void service_dispatcher::on_end(std::uint64_t upstream, bool has_started)
+void service_dispatcher::on_end(std::uint64_t upstream, double starting_tokens)
 {
-    this->scheduler_.on_end(upstream, has_started, this->clock_.now());
+    this->scheduler_.on_end(upstream, starting_tokens, this->clock_.now());
     this->dispatch();
 }
 
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -63,15 +63,18 @@
     void configure(const model::route_config& config);
 
     /// Learns that the first event of an attempt has come.
-    void on_started(std::uint64_t upstream) { this->scheduler_.on_started(upstream); }
+    void on_started(std::uint64_t upstream, double tokens)
+    {
+        this->scheduler_.on_started(upstream, tokens);
+    }
 
     /// Learns from a pause between two events of a stream.
     void on_gap(duration gap);
 
     /// Returns the slot of an attempt.
     /// @param upstream where it was sent
-    /// @param has_started whether on_started was called for it
-    void on_end(std::uint64_t upstream, bool has_started);
+    /// @param starting_tokens tokens of its prompt if on_started was not called for it, else 0
+    void on_end(std::uint64_t upstream, double starting_tokens);
 
     /// Learns how an attempt went; see upstream_scheduler::on_result.
     void on_result(std::uint64_t upstream, policy::call_outcome outcome,
--- a/Source/model/route_config.h
+++ b/Source/model/route_config.h
@@ -48,6 +48,7 @@
     duration step_per_sequence{}; ///< more for each request that writes
     double read_tokens_per_second = 0;
     unsigned steps_per_pass = 0;
+    unsigned chunk = 0;        ///< prompt tokens that an engine reads at most in a step
     unsigned usual_prompt = 0; ///< mean tokens of a prompt
     unsigned usual_answer = 0; ///< mean tokens of an answer
 };
--- a/Source/policy/map_rollout.cxx
+++ b/Source/policy/map_rollout.cxx
@@ -39,6 +39,7 @@
         this->phase_ = rollout_phase::lost;
         return;
     }
+    this->unanswered_ += result == order_result::unanswered ? 1 : 0;
     if (!report) {
         return;
     }
@@ -140,8 +141,10 @@
 
 void map_rollout::choose_step(time_point now)
 {
-    this->step_ = std::max({this->newest_step_ + this->options_.margin_steps,
-                            this->options_.least_step, this->step_ + 1});
+    const auto margin = this->options_.margin_steps +
+                        (this->unanswered_ > 0 ? this->options_.trouble_margin_steps : 0);
+    this->step_ =
+        std::max({this->newest_step_ + margin, this->options_.least_step, this->step_ + 1});
     this->enter(rollout_phase::hold, now);
 }
 
--- a/Source/policy/map_rollout.h
+++ b/Source/policy/map_rollout.h
@@ -14,6 +14,9 @@
     /// Passes between the newest one known and the switch, so that all ranks are armed before it
     /// and the group never waits.
     std::uint64_t margin_steps = 3;
+    /// More passes if orders of this rollout were left unanswered: each takes the time to give up
+    /// and repeat it, in which the group must not reach the step.
+    std::uint64_t trouble_margin_steps = 6;
     /// The switch is no earlier than this pass. Must lie beyond the passes that earlier rollouts
     /// with the same token held: while a group is idle its passes do not advance, and a late order
     /// that lifts an earlier hold must not lift this one.
@@ -124,6 +127,7 @@
     std::uint64_t step_ = 0;        ///< of the switch
     std::uint64_t newest_step_ = 0; ///< known of any rank
     std::uint64_t round_ = 0;
+    unsigned unanswered_ = 0;     ///< orders
     bool finishes_stale_ = false; ///< an earlier coordinator had armed all ranks
 };
 
--- a/Source/policy/pace_limit.h
+++ b/Source/policy/pace_limit.h
@@ -1,54 +1,80 @@
 #pragma once
 
 #include <cstddef>
+#include <vector>
 
 #include "base/clock.h"
+#include "model/route_config.h"
 
 namespace medlaryoke::policy {
 
 struct pace_limit_options {
-    /// Part of the longest pause allowed that a pass may take on average; the rest covers passes
-    /// that read long prompts.
-    double target_part = 0.8;
-    duration window = std::chrono::milliseconds(250); ///< over which pauses are averaged
-    double smoothing = 0.4;                           ///< weight of the newest window
-    double least = 2;                                 ///< requests an engine runs in any case
+    /// Part of the longest pause allowed that a pass may take by prediction; the rest covers the
+    /// way to the caller and what the prediction leaves out.
+    double target_part = 0.97;
+    /// Prompt that the rank with most to read reads in a pass, in usual prompts: for a group of 8
+    /// ranks, and more for each doubling, as the longest of more prompts decides.
+    double read_part = 1;
+    double read_part_per_doubling = 0.35;
+    /// What the shorter passes read, in parts of that.
+    double short_read = 0.6;
+    duration window = std::chrono::milliseconds(200); ///< over which pauses are looked at
+    /// Weight of the newest window. A shift of popularity makes passes longer at once, so a rise is
+    /// believed sooner than a fall.
+    double rise = 0.7;
+    double fall = 0.2;
+    /// Work for which the running requests are limited in any case: popularity shifts at once, and
+    /// the requests that run then stay.
+    double planned_work = 2.6;
+    double least = 2;     ///< requests an engine runs in any case
+    double most_work = 5; ///< an estimate above this comes from a stall, not from skew
 };
 
-/// Learns how many requests the engines of a lock-step group may run at once, for loads and expert
-/// skews under which a full batch makes every stream late. All ranks wait for the slowest, so a
-/// pass takes a fixed time and a part for each request that runs; that part grows with the skew of
-/// the experts and is measured from the pauses between events. Not thread safe.
+/// Predicts the passes of a lock-step group and limits what its engines run and read at once, for
+/// loads and expert skews under which one long pass makes every running stream late. All ranks wait
+/// for the slowest: a pass takes a fixed time, a part for each request that writes, and the time to
+/// read the prompts of the rank that reads most; the last two grow with the skew of the experts.
+/// The skew is learnt from the shorter pauses between events. Not thread safe.
 class pace_limit {
 public:
     explicit pace_limit(pace_limit_options options = {});
 
     /// Sets what is known of the engines.
-    /// @param empty_pass time of a pass that writes for nobody; zero if unknown
+    /// @param pace times of the engines; without steps or times nothing is limited
     /// @param longest_gap longest pause between events that is on time; zero: no limit
-    void configure(duration empty_pass, duration longest_gap);
+    void configure(const model::engine_pace& pace, duration longest_gap);
 
     /// Learns from a pause between two events of a stream.
     /// @param gap the pause
     /// @param running requests that an engine runs, on average over the group
+    /// @param ranks number of engines
     /// @param now the current time
-    void on_gap(duration gap, double running, time_point now);
+    void on_gap(duration gap, double running, std::size_t ranks, time_point now);
 
     /// @return requests that an engine may run, on average over the group; infinity if unlimited
-    [[nodiscard]] double limit() const { return this->limit_; }
+    [[nodiscard]] double run_limit() const;
+
+    /// @param running requests that an engine runs, on average over the group
+    /// @return prompt tokens that one engine may read in a pass; infinity if unlimited
+    [[nodiscard]] double read_limit(double running) const;
+
+    /// @return work of a pass over that of a group whose experts are spread evenly
+    [[nodiscard]] double work() const { return this->work_; }
 
 private:
+    [[nodiscard]] bool is_limited() const;
+    [[nodiscard]] double room_ms() const;
+    [[nodiscard]] double usual_reading_ms() const;
     void end_window();
 
     pace_limit_options options_;
-    duration empty_pass_{};
+    model::engine_pace pace_;
     duration longest_gap_{};
-    double limit_;
-    double ms_per_request_ = 0; ///< smoothed; 0: unknown
+    double work_ = 1;
+    std::size_t ranks_ = 1;
     time_point window_start_{};
-    double gap_sum_ms_ = 0;
+    std::vector<double> gaps_ms_;
     double running_sum_ = 0;
-    std::size_t samples_ = 0;
 };
 
 } // namespace medlaryoke::policy
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -16,6 +16,10 @@
 // Over which the rate at which own requests end is measured.
 constexpr auto rate_window = std::chrono::milliseconds(1000);
 
+// Prompt tokens being read that weigh as much as a running request when upstreams are compared:
+// prompts at one engine are read one after the other.
+constexpr double tokens_per_place = 700;
+
 constexpr double latency_smoothing = 0.2; ///< weight of a new measurement
 
 // Preference for the own data centre, in requests: decides only between equal loads.
@@ -30,7 +34,8 @@
 
 upstream_scheduler::upstream_scheduler(scheduler_options options, std::uint64_t seed)
     : options_(std::move(options)), random_(seed),
-      run_limit_(std::numeric_limits<double>::infinity())
+      run_limit_(std::numeric_limits<double>::infinity()),
+      read_limit_(std::numeric_limits<double>::infinity())
 {
 }
 
@@ -83,13 +88,13 @@
         }
         if (chosen) {
             ++this->upstreams_[*chosen].own;
-            ++this->upstreams_[*chosen].starting;
+            this->upstreams_[*chosen].starting += it->tokens;
             ready.push_back({it->id, *chosen});
             it = this->waiting_.erase(it);
             continue;
         }
-        // Less urgent requests have no more room than this one, unless it alone is excluded.
-        if (it->excluded.empty()) {
+        // Less urgent requests have no more places, but a shorter prompt may fit.
+        if (!this->has_room(it->priority)) {
             break;
         }
         ++it;
@@ -122,23 +127,21 @@
            0;
 }
 
-void upstream_scheduler::on_started(std::uint64_t upstream)
+void upstream_scheduler::on_started(std::uint64_t upstream, double tokens)
 {
     const auto found = this->upstreams_.find(upstream);
-    if (found != this->upstreams_.end() && found->second.starting > 0) {
-        --found->second.starting;
+    if (found != this->upstreams_.end()) {
+        found->second.starting = std::max(found->second.starting - tokens, 0.0);
     }
 }
 
-void upstream_scheduler::on_end(std::uint64_t upstream, bool has_started, time_point now)
+void upstream_scheduler::on_end(std::uint64_t upstream, double starting_tokens, time_point now)
 {
     this->ends_.push_back(now);
     while (this->ends_.front() <= now - rate_window) {
         this->ends_.pop_front();
     }
-    if (!has_started) {
-        this->on_started(upstream);
-    }
+    this->on_started(upstream, starting_tokens);
     const auto found = this->upstreams_.find(upstream);
     if (found == this->upstreams_.end() || found->second.own == 0) {
         return;
@@ -191,12 +194,17 @@
                                  std::plus<>{}, [](const auto& it) { return it.second.own; });
 }
 
+std::size_t upstream_scheduler::listed() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->upstreams_, [](const auto& it) { return it.second.listed; }));
+}
+
 double upstream_scheduler::mean_running() const
 {
-    std::size_t listed = 0;
+    const auto listed = this->listed();
     std::size_t sum = 0;
     for (const auto& [id, it] : this->upstreams_) {
-        listed += it.listed ? 1 : 0;
         sum += it.own + it.remote;
     }
     return listed == 0 ? 0 : static_cast<double>(sum) / static_cast<double>(listed);
@@ -229,7 +237,7 @@
 {
     const auto limit = std::min(static_cast<double>(it.entry.slots), std::ceil(this->run_limit_));
     return it.listed && !it.entry.draining && it.paused_until <= now &&
-           it.own + it.remote < limit && it.starting < this->options_.most_starting &&
+           it.own + it.remote < limit && it.starting + request.tokens <= this->read_limit_ &&
            !this->outliers_.is_ejected(id) &&
            std::ranges::find(request.excluded, id) == request.excluded.end();
 }
@@ -252,7 +260,7 @@
 
 double upstream_scheduler::score(const upstream_state& it, double median, time_point now) const
 {
-    const auto load = static_cast<double>(it.own + it.remote + it.starting) + 1 -
+    const auto load = static_cast<double>(it.own + it.remote) + 1 + it.starting / tokens_per_place -
                       (it.entry.data_centre == this->own_data_centre_ ? near_bonus : 0);
     const bool known = it.latency_ms > 0 && now - it.latency_at < this->options_.latency_memory;
     if (!known || median <= 0 || it.latency_ms < this->options_.slow_factor * median) {
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -23,6 +23,7 @@
     unsigned priority = 0;          ///< 0 is the most urgent
     bool repeated = false;          ///< was sent before; goes before others of its priority
     bool may_probe = false;         ///< may be sent to an upstream that was taken out for failing
+    double tokens = 0;              ///< of the prompt that an engine must read
     time_point arrived{};
     time_point wait_until{};               ///< given up if not sent by then
     std::vector<std::uint64_t> excluded{}; ///< upstreams that it is not sent to
@@ -38,9 +39,6 @@
     /// Part of the running requests allowed that each priority may fill; the last entry holds for
     /// all further priorities. What the less urgent leave is free for urgent work at once.
     std::vector<double> part_by_priority{1.0, 0.94, 0.88};
-    /// Requests that an engine is given while it has not yet sent their first events: prompts read
-    /// at one engine delay each other, and all ranks of its group wait for it.
-    unsigned most_starting = 3;
     /// How long an upstream gets nothing more after it refused for being full or unready.
     duration refusal_pause = std::chrono::milliseconds(150);
     /// An upstream counts as slow from this multiple of the median latency.
@@ -68,10 +66,15 @@
     /// @param running requests by upstream
     void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running);
 
-    /// Bounds the requests that run.
+    /// Bounds what the upstreams run and read.
     /// @param mean requests that an upstream runs, on average over the service; infinity: as many
     /// as it has slots
-    void set_run_limit(double mean) { this->run_limit_ = mean; }
+    /// @param tokens of prompts that one upstream reads at a time; infinity: any
+    void set_limits(double mean, double tokens)
+    {
+        this->run_limit_ = mean;
+        this->read_limit_ = tokens;
+    }
 
     /// Adds a waiting request.
     void push(const scheduled_request& request);
@@ -91,13 +94,15 @@
     bool remove(std::uint64_t request);
 
     /// Learns that the first event of a request has come.
-    void on_started(std::uint64_t upstream);
+    /// @param upstream where it was sent
+    /// @param tokens of its prompt
+    void on_started(std::uint64_t upstream, double tokens);
 
     /// Returns the slot of a request that was sent.
     /// @param upstream where it was sent
-    /// @param has_started whether on_started was called for it
+    /// @param starting_tokens tokens of its prompt if on_started was not called for it, else 0
     /// @param now the current time
-    void on_end(std::uint64_t upstream, bool has_started, time_point now);
+    void on_end(std::uint64_t upstream, double starting_tokens, time_point now);
 
     /// Learns from an answer or a failure.
     /// @param upstream where the request was sent
@@ -113,6 +118,9 @@
     /// @return requests of this gateway by upstream, without those that have none
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> own_load() const;
 
+    /// @return upstreams in the list
+    [[nodiscard]] std::size_t listed() const;
+
     [[nodiscard]] std::size_t waiting() const { return this->waiting_.size(); }
     [[nodiscard]] std::size_t running() const;
 
@@ -124,7 +132,7 @@
         model::upstream_entry entry;
         bool listed = true;
         unsigned own = 0;
-        unsigned starting = 0; ///< own ones without a first event
+        double starting = 0; ///< prompt tokens of own ones without a first event
         unsigned remote = 0;
         time_point paused_until{};
         double latency_ms = 0; ///< smoothed; 0: unknown
@@ -148,6 +156,7 @@
     outlier_detector outliers_;
     std::vector<scheduled_request> waiting_; ///< in the order in which they are served
     double run_limit_;
+    double read_limit_;
     std::deque<time_point> ends_; ///< of own requests lately
 };
 
--- a/Tests/policy/test_pace_limit.cxx
+++ b/Tests/policy/test_pace_limit.cxx
@@ -1,7 +1,9 @@
 #include "policy/pace_limit.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cmath>
+#include <random>
 
 #include <criterion/criterion.h>
 
@@ -11,45 +13,92 @@
 
 namespace {
 
-/// Feeds pauses of engines whose pass takes 30 ms and a part for each request that runs.
-void run(pace_limit& limit, double ms_per_request, double& running, time_point& now)
+constexpr std::size_t ranks = 16;
+constexpr double base_ms = 30;
+constexpr double ms_per_request = 2.2;
+constexpr double tokens_per_ms = 75;
+
+model::engine_pace make_pace()
 {
-    for (int n = 0; n < 200; ++n) {
-        running = std::min(12.0, limit.limit());
-        const auto gap = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double, std::milli>(30 + ms_per_request * running));
-        now += gap;
-        limit.on_gap(gap, running, now);
-    }
+    model::engine_pace pace;
+    pace.step = 5ms;
+    pace.steps_per_pass = 6;
+    pace.step_per_sequence = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(ms_per_request / 6));
+    pace.read_tokens_per_second = tokens_per_ms * 1000;
+    pace.usual_prompt = 800;
+    pace.chunk = 512;
+    return pace;
 }
 
+/// A lock-step group whose passes follow the engines' times.
+struct simulated_group {
+    /// Runs passes with as many requests as the limit and the slots allow.
+    /// @return longest pass
+    double run(pace_limit& limit, double work, int passes)
+    {
+        double longest = 0;
+        for (int n = 0; n < passes; ++n) {
+            this->running = std::min(12.0, limit.run_limit());
+            const auto prompt = std::min(std::lognormal_distribution<>(6.8, 0.5)(this->random),
+                                         limit.read_limit(this->running));
+            const auto ms =
+                base_ms + work * (ms_per_request * this->running + prompt / tokens_per_ms);
+            longest = std::max(longest, ms);
+            const auto gap =
+                std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+            this->now += gap;
+            for (int stream = 0; stream < 20; ++stream) {
+                limit.on_gap(gap, this->running, ranks, this->now);
+            }
+        }
+        return longest;
+    }
+
+    std::mt19937 random{5};
+    double running = 12;
+    time_point now{1s};
+};
+
 } // namespace
 
-// Guards against full batches that make every stream late while a few experts take most of the
-// work, and against a limit that stays after they no longer do.
-Test(pace_limit, follows_the_cost_of_a_request)
+// Guards against passes that make every stream late: once the skew is known no pass may take longer
+// than the pause allowed, whatever the work of the experts.
+Test(pace_limit, keeps_every_pass_within_the_pause_allowed)
+{
+    for (const double work : {1.0, 1.5, 2.0, 3.0}) {
+        pace_limit limit;
+        limit.configure(make_pace(), 120ms);
+        simulated_group group;
+        group.run(limit, work, 60);
+        const auto longest = group.run(limit, work, 400);
+        cr_assert(longest <= 120, "%f: %f", work, longest);
+        cr_assert(group.running >= 4, "%f: %f", work, group.running);
+    }
+}
+
+// Guards against a group that is so full that a shift of popularity makes its streams late before
+// the limit can follow.
+Test(pace_limit, bears_a_shift_of_popularity)
 {
     pace_limit limit;
-    limit.configure(30ms, 120ms);
-    double running = 12;
-    time_point now{1s};
-    run(limit, 10, running, now);
-    cr_assert(30 + 10 * running <= 120, "%f", running);
-    cr_assert(30 + 10 * running >= 80, "%f", running);
-    run(limit, 3, running, now);
-    cr_assert(running == 12, "%f", running);
+    limit.configure(make_pace(), 120ms);
+    simulated_group group;
+    group.run(limit, 1.05, 200);
+    cr_assert(group.run(limit, 2.0, 1) <= 120);
 }
 
-// Guards against a stalled group that is taken for an overloaded one.
+// Guards against a stalled group that is taken for an overloaded one, and against limits where
+// nothing is known of the engines.
 Test(pace_limit, ignores_stalls_and_services_without_pace)
 {
     pace_limit limit;
-    cr_assert(std::isinf(limit.limit()));
-    limit.on_gap(500ms, 12, time_point{1s});
-    cr_assert(std::isinf(limit.limit()));
-    limit.configure(30ms, 120ms);
+    cr_assert(std::isinf(limit.run_limit()) && std::isinf(limit.read_limit(12)));
+    limit.on_gap(100ms, 12, ranks, time_point{1s});
+    limit.configure(make_pace(), 120ms);
+    const auto before = limit.run_limit();
     for (int n = 0; n < 100; ++n) {
-        limit.on_gap(2s, 12, time_point{1s} + n * 100ms);
+        limit.on_gap(2s, 12, ranks, time_point{1s} + n * 100ms);
     }
-    cr_assert(std::isinf(limit.limit()));
+    cr_assert(limit.run_limit() == before && limit.work() == 1);
 }
--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -55,7 +55,7 @@
     for (unsigned n = 0; n < count; ++n) {
         scheduler.push(make_request(++id, priority));
         for (const auto& it : scheduler.take_ready(start)) {
-            scheduler.on_started(it.upstream);
+            scheduler.on_started(it.upstream, 0);
             sent.push_back(it);
         }
     }
@@ -108,7 +108,7 @@
     }
     std::vector<std::uint64_t> order;
     for (int n = 0; n < 4; ++n) {
-        scheduler.on_end(running.front().upstream, false, start);
+        scheduler.on_end(running.front().upstream, 0, start);
         for (const auto& it : scheduler.take_ready(start)) {
             order.push_back(it.request);
         }
@@ -120,7 +120,7 @@
 Test(upstream_scheduler, keeps_the_limit_of_the_pace)
 {
     auto scheduler = make_scheduler(4, 12);
-    scheduler.set_run_limit(5.5);
+    scheduler.set_limits(5.5, 1e9);
     scheduler.set_remote_load({{hash64("u0"), 4}, {hash64("u1"), 4}});
     cr_assert(send(scheduler, 50).size() == 14);
 }
@@ -133,7 +133,7 @@
     const auto running = send(scheduler, 10);
     cr_assert(running.size() == 10);
     for (int n = 0; n < 5; ++n) { // five places fall free in a second
-        scheduler.on_end(running.front().upstream, true, start);
+        scheduler.on_end(running.front().upstream, 0, start);
     }
     cr_assert(send(scheduler, 5).size() == 5);
     for (std::uint64_t id = 1; id <= 8; ++id) {
@@ -196,7 +196,31 @@
     const auto sent = send(scheduler, 1);
     scheduler.set_upstreams({}, "dc-1");
     cr_assert(scheduler.running() == 1);
-    scheduler.on_end(sent.front().upstream, true, start);
+    scheduler.on_end(sent.front().upstream, 0, start);
     cr_assert(scheduler.running() == 0);
     cr_assert(send(scheduler, 1).empty());
 }
+
+// Guards against a long prompt that makes the pass of every rank longer than a stream may pause,
+// and against short ones that wait behind it.
+Test(upstream_scheduler, long_prompts_wait_for_an_engine_that_reads_nothing)
+{
+    auto scheduler = make_scheduler(2);
+    scheduler.set_limits(4, 1000);
+    const auto add = [&scheduler](std::uint64_t id, double tokens) {
+        auto request = make_request(id);
+        request.tokens = tokens;
+        scheduler.push(request);
+    };
+    add(1, 700);
+    add(2, 700);
+    add(3, 700);
+    add(4, 300);
+    auto sent = scheduler.take_ready(start);
+    cr_assert(sent.size() == 3);
+    cr_assert(sent[2].request == 4);
+    scheduler.on_started(sent[0].upstream, 700);
+    scheduler.on_started(sent[1].upstream, 700);
+    sent = scheduler.take_ready(start);
+    cr_assert(sent.size() == 1 && sent[0].request == 3);
+}
