gateway: Test the request path and the platform's formats without the bench

Raw callers and upstreams check what may be repeated, what refusals promise, resumed and broken streams, cancelled work, deadlines, keys and the end of a process. Found by them: a connection on which an answer without a signature came was used again; such an answer is now given up at its head, which closes the connection.

--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -28,7 +28,7 @@
 
 gateway::~gateway() = default;
 
-void gateway::handle(transport::http_request message,
+void gateway::handle(const transport::http_request& message,
                      const std::shared_ptr<transport::response_stream>& response)
 {
     try {
@@ -36,7 +36,6 @@
             throw error(error_kind::unavailable, "this gateway is about to end",
                         "Repeat the request at another gateway.");
         }
-        // The message is moved only once the filters cannot refuse it any more.
         auto request = this->filters_.apply(message, this->config_.active(), this->clock_.now());
         request.number = ++this->last_number_;
         const auto target = this->service(this->choose_service(*request.route));
@@ -166,6 +165,7 @@
         return route.services.front().service;
     }
     std::vector<double> weights;
+    weights.reserve(route.services.size());
     for (const auto& share : route.services) {
         weights.push_back(std::max(share.weight, 0.0));
     }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -43,7 +43,7 @@
     ~gateway();
 
     /// Handles one request of a caller.
-    void handle(transport::http_request message,
+    void handle(const transport::http_request& message,
                 const std::shared_ptr<transport::response_stream>& response);
 
     /// Refuses requests that come from now on, because there is no time left to finish them.
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -147,10 +147,10 @@
     options.address = this->settings_.caller_address;
     this->caller_server_ = std::make_unique<transport::http_server>(
         this->context_, options,
-        [this](transport::http_request request,
+        [this](const transport::http_request& request,
                const std::shared_ptr<transport::response_stream>& response) {
             this->last_request_ = this->clock_.now();
-            this->gateway_.handle(std::move(request), response);
+            this->gateway_.handle(request, response);
         });
     policy::peer_beat own;
     own.instance = this->settings_.instance;
@@ -210,6 +210,7 @@
     this->store_->list(this->adapter_.gateways_topic, [this](const keyed_result& result) {
         if (const auto* page = std::get_if<keyed_records>(&result)) {
             std::vector<std::string> addresses;
+            addresses.reserve(page->records.size());
             for (const auto& record : page->records) {
                 addresses.push_back(record.value);
             }
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -80,7 +80,7 @@
 
 void proxied_request::on_assigned(const upstream_target& target)
 {
-    this->attempt_.emplace();
+    this->attempt_ = attempt{};
     this->attempt_->number = ++this->attempts_;
     this->attempt_->target = target;
     this->attempt_->sent = this->service_->clock().now();
@@ -139,7 +139,7 @@
         current([&head](proxied_request& it) { it.on_head(head); });
     };
     events.on_data = [current](std::string data) {
-        current([&data](proxied_request& it) { it.on_data(std::move(data)); });
+        current([&data](proxied_request& it) { it.on_data(data); });
     };
     events.on_end = [current] { current([](proxied_request& it) { it.on_end(); }); };
     events.on_failure = [current](const transport::http_failure& failure) {
@@ -152,12 +152,19 @@
 {
     auto& it = *this->attempt_;
     it.head = head;
-    it.has_head = true;
     it.heard = this->service_->clock().now();
     it.streams = this->details_.route->is_stream && is_success(head.status);
+    const bool is_signed =
+        !transport::find_header(head.headers, this->service_->protocol().signature).empty();
+    const bool is_encoded = !transport::find_header(head.headers, "Content-Encoding").empty();
+    if (is_success(head.status) && (!is_signed || is_encoded)) {
+        // Given up before its end, so that the connection is not used again.
+        this->drop_attempt(policy::call_outcome::failed);
+        this->attempt_failed(attempt_end::unknown, "the answer bears no signature");
+    }
 }
 
-void proxied_request::on_data(std::string data)
+void proxied_request::on_data(const std::string& data)
 {
     auto& it = *this->attempt_;
     if (it.streams) {
@@ -174,13 +181,6 @@
 void proxied_request::on_stream_data(const std::string& data)
 {
     auto& it = *this->attempt_;
-    const auto& protocol = this->service_->protocol();
-    if (transport::find_header(it.head.headers, protocol.signature).empty() ||
-        !transport::find_header(it.head.headers, "Content-Encoding").empty()) {
-        this->drop_attempt(policy::call_outcome::failed);
-        this->attempt_failed(attempt_end::unknown, "the stream bears no signature");
-        return;
-    }
     auto whole = this->events_.add(data);
     if (whole.empty()) {
         return;
@@ -233,7 +233,6 @@
     const auto& protocol = this->service_->protocol();
     const auto& head = this->attempt_->head;
     const auto now = this->service_->clock().now();
-    const bool is_signed = !transport::find_header(head.headers, protocol.signature).empty();
     if (head.status == misdirected_status ||
         !transport::find_header(head.headers, protocol.not_run).empty()) {
         const auto reason = fmt::format("the upstream refused with {}", head.status);
@@ -242,11 +241,6 @@
         return;
     }
     if (is_success(head.status)) {
-        if (!is_signed || !transport::find_header(head.headers, "Content-Encoding").empty()) {
-            this->drop_attempt(policy::call_outcome::failed);
-            this->attempt_failed(attempt_end::unknown, "the answer bears no signature");
-            return;
-        }
         transport::http_response whole{head, std::move(this->attempt_->body)};
         this->end_attempt(policy::call_outcome::succeeded, now - this->attempt_->sent);
         this->answer(whole.head, std::move(whole.body), "answered");
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -60,8 +60,7 @@
         transport::http_head head;
         std::string body; ///< of an answer that is not a stream, or not one with success
         time_point sent{};
-        time_point heard{}; ///< last event
-        bool has_head = false;
+        time_point heard{};     ///< last event
         bool streams = false;   ///< the body is passed on event by event
         bool has_event = false; ///< a whole event has come
     };
@@ -69,7 +68,7 @@
     [[nodiscard]] transport::http_request make_message(const upstream_target& target) const;
     [[nodiscard]] transport::http_events make_events(std::uint64_t number);
     void on_head(const transport::http_head& head);
-    void on_data(std::string data);
+    void on_data(const std::string& data);
     void on_end();
     void on_failure(const transport::http_failure& failure);
     void on_stream_data(const std::string& data);
--- a/Source/gateway/request_filters.cxx
+++ b/Source/gateway/request_filters.cxx
@@ -32,15 +32,15 @@
 
 } // namespace
 
-routed_request request_filters::apply(transport::http_request message, const active_config& active,
-                                      time_point now) const
+routed_request request_filters::apply(const transport::http_request& message,
+                                      const active_config& active, time_point now) const
 {
     if (!active.config) {
         throw error(error_kind::unavailable, "no configuration is known yet",
                     "Repeat the request later.");
     }
     routed_request request;
-    request.message = std::move(message);
+    request.message = message;
     request.config = active.config;
     request.arrived = now;
     this->identify(request);
--- a/Source/gateway/request_filters.h
+++ b/Source/gateway/request_filters.h
@@ -25,13 +25,13 @@
 public:
     explicit request_filters(const caller_protocol& protocol) : protocol_(protocol) {}
 
-    /// @param message the request as read; its headers and body are moved into the result
+    /// @param message the request as read; its headers and body are copied into the result
     /// @param active the configuration
     /// @param now when the request was read
     /// @return the request with its route, or why it is refused
     /// @throws error of the kind that tells the caller's mistake; unavailable without configuration
-    [[nodiscard]] routed_request apply(transport::http_request message, const active_config& active,
-                                       time_point now) const;
+    [[nodiscard]] routed_request apply(const transport::http_request& message,
+                                       const active_config& active, time_point now) const;
 
 private:
     void identify(routed_request& request) const;
--- a/Source/policy/map_rollout.cxx
+++ b/Source/policy/map_rollout.cxx
@@ -92,10 +92,9 @@
     const bool waits_for_copies = this->phase_ == rollout_phase::fence ||
                                   this->phase_ == rollout_phase::prepare ||
                                   this->phase_ == rollout_phase::hold;
-    if (waits_for_copies && spent > this->options_.prepare_timeout) {
-        this->give_up(now);
-    }
-    else if (this->phase_ == rollout_phase::arm && spent > this->options_.arm_timeout) {
+    const bool waits_for_arming = this->phase_ == rollout_phase::arm;
+    if ((waits_for_copies && spent > this->options_.prepare_timeout) ||
+        (waits_for_arming && spent > this->options_.arm_timeout)) {
         this->give_up(now);
     }
     else if (this->phase_ == rollout_phase::verify && spent > this->options_.verify_timeout) {
--- a/Source/policy/pace_limit.cxx
+++ b/Source/policy/pace_limit.cxx
@@ -87,7 +87,8 @@
     const auto tokens = (this->room_ms() - writing) / this->work_ / ms_per_second *
                         this->pace_.read_tokens_per_second;
     // Engines read at most a chunk a step, so more at once does not lengthen a pass further.
-    const auto most = static_cast<double>(this->pace_.chunk) * this->pace_.steps_per_pass;
+    const auto most =
+        static_cast<double>(this->pace_.chunk) * static_cast<double>(this->pace_.steps_per_pass);
     return most > 0 && tokens >= most ? unlimited : std::max(tokens, 0.0);
 }
 
--- a/Source/policy/upstream_registry.cxx
+++ b/Source/policy/upstream_registry.cxx
@@ -44,6 +44,7 @@
 std::vector<model::upstream_entry> upstream_registry::upstreams() const
 {
     std::vector<model::upstream_entry> list;
+    list.reserve(this->members_.size());
     for (const auto& [id, it] : this->members_) {
         list.push_back(it.entry);
     }
--- /dev/null
+++ b/Tests/gateway/test_gateway.cxx
@@ -0,0 +1,229 @@
+#include "gateway/gateway.h"
+
+#include <chrono>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "gateway/gateway_site.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string key = "Authorization: Bearer key-1\r\n";
+
+bool has_status(const std::string& answer, unsigned status)
+{
+    return answer.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// Reads one answer with a length or chunks.
+std::string read_answer(const fakes::raw_connection& caller)
+{
+    auto head = caller.read_until("\r\n\r\n");
+    return contains(head, "chunked") ? head + caller.read_until("0\r\n\r\n")
+                                     : head + caller.read_until("}");
+}
+
+} // namespace
+
+// Guards against a key that reaches an upstream, an organisation that the caller chose itself, and
+// a request that another upstream at the same address takes.
+Test(gateway, tells_the_upstream_who_asks_and_for_how_long)
+{
+    gateway_site site(1);
+    site.configure();
+    const auto caller =
+        site.call("/safe/a?b=c", key + "X-Organisation: other\r\nX-Deadline: 900\r\n"
+                                       "Connection: X-Hop\r\nX-Hop: 1\r\nX-Keep: 2\r\n");
+    const auto upstream = site.upstreams[0]->accept();
+    const auto text = upstream.read_until("\r\n\r\n");
+    cr_assert(text.starts_with("GET /safe/a?b=c HTTP/1.1\r\n"), "%s", text.c_str());
+    cr_assert(contains(text, "X-Organisation: org-1\r\n") && !contains(text, "other"));
+    cr_assert(contains(text, "X-Upstream: u0\r\n"));
+    cr_assert(contains(text, "X-Deadline: ") && !contains(text, "X-Deadline: 900"));
+    cr_assert(contains(text, "X-Keep: 2") && !contains(text, "X-Hop") && !contains(text, "key-1"));
+    upstream.send(signed_answer("r-1", "{}"));
+    const auto answer = read_answer(caller);
+    cr_assert(has_status(answer, 200) && contains(answer, "X-Signature: s"), "%s", answer.c_str());
+}
+
+// Guards against requests that are let through without a route or a key, and against telling
+// callers that a route is missing while no configuration is known.
+Test(gateway, refuses_what_the_configuration_does_not_allow)
+{
+    gateway_site site(1);
+    cr_assert(has_status(read_answer(site.call("/safe/", key)), 503));
+    site.configure();
+    cr_assert(has_status(read_answer(site.call("/other/", key)), 404));
+    cr_assert(has_status(read_answer(site.call("/safe/")), 401));
+    cr_assert(has_status(read_answer(site.call("/safe/", "Authorization: Bearer no\r\n")), 401));
+    cr_assert(!site.upstreams[0]->has_pending());
+    const auto caller = site.call("/public/");
+    const auto upstream = site.upstreams[0]->accept();
+    cr_assert(!contains(upstream.read_until("\r\n\r\n"), "X-Organisation"));
+}
+
+// Guards against a request that must not be repeated and runs twice, and against a refusal that
+// says it has not run although it may have.
+Test(gateway, never_repeats_an_unsafe_request_that_may_have_run)
+{
+    gateway_site site(2);
+    site.configure();
+    const auto caller = site.call("/unsafe/", key);
+    const auto first = site.reached();
+    {
+        const auto upstream = site.upstreams[first]->accept();
+        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    }
+    const auto answer = read_answer(caller);
+    cr_assert(has_status(answer, 502), "%s", answer.c_str());
+    cr_assert(!site.upstreams[1 - first]->has_pending());
+}
+
+// Guards against an unsafe request that is lost although the upstream said it did not run it, and
+// against a false refusal when no other upstream is left.
+Test(gateway, takes_a_refused_request_to_another_upstream)
+{
+    gateway_site site(2);
+    site.configure();
+    const std::string refusal =
+        "HTTP/1.1 503 Busy\r\nX-Id: r-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    const auto caller = site.call("/unsafe/", key);
+    const auto first = site.reached();
+    const auto one = site.upstreams[first]->accept();
+    cr_assert(!one.read_until("\r\n\r\n").empty());
+    one.send(refusal);
+    const auto other = site.upstreams[1 - first]->accept();
+    cr_assert(!other.read_until("\r\n\r\n").empty());
+    other.send(refusal);
+    const auto answer = read_answer(caller);
+    cr_assert(has_status(answer, 503) && contains(answer, "Retry-After: "), "%s", answer.c_str());
+}
+
+// Guards against an answer that breaks off and reaches the caller as if it were whole.
+Test(gateway, repeats_a_safe_request_whose_answer_breaks_off)
+{
+    gateway_site site(2);
+    site.configure();
+    const auto caller = site.call("/safe/", key);
+    const auto first = site.reached();
+    {
+        const auto upstream = site.upstreams[first]->accept();
+        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
+                      "Content-Length: 10\r\n\r\n{\"a");
+    }
+    const auto other = site.upstreams[1 - first]->accept();
+    cr_assert(!other.read_until("\r\n\r\n").empty());
+    other.send(signed_answer("r-1", "{\"b\":1}"));
+    const auto answer = read_answer(caller);
+    cr_assert(has_status(answer, 200) && answer.ends_with("{\"b\":1}"), "%s", answer.c_str());
+}
+
+// Guards against success that no upstream signed, and against a failure of an upstream that is
+// replaced by another one.
+Test(gateway, passes_on_only_what_an_upstream_signed)
+{
+    gateway_site site(1);
+    site.configure();
+    const auto caller = site.call("/unsafe/", key);
+    const auto upstream = site.upstreams[0]->accept();
+    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\n{}");
+    cr_assert(has_status(read_answer(caller), 502));
+    const auto second = site.call("/unsafe/", key);
+    const auto again = site.upstreams[0]->accept();
+    cr_assert(!again.read_until("\r\n\r\n").empty());
+    again.send("HTTP/1.1 500 Broken\r\nX-Id: r-1\r\nX-Signature: f\r\nContent-Length: 2\r\n\r\n{}");
+    const auto answer = read_answer(second);
+    cr_assert(has_status(answer, 500) && contains(answer, "X-Signature: f"), "%s", answer.c_str());
+}
+
+// Guards against events that are lost, doubled or joined from two runs when an upstream breaks off
+// in the middle of an event.
+Test(gateway, goes_on_with_a_stream_at_another_upstream)
+{
+    gateway_site site(2);
+    site.configure();
+    const auto caller = site.call("/stream/", key);
+    const auto first = site.reached();
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string begun = "id: 1\ndata: a\n\nid: 2\nda";
+    {
+        const auto upstream = site.upstreams[first]->accept();
+        cr_assert(!contains(upstream.read_until("\r\n\r\n"), "Last-Event-Id"));
+        upstream.send(head + "16\r\n" + begun + "\r\n");
+        cr_assert(!caller.read_until("data: a\n\n").empty());
+    }
+    const auto other = site.upstreams[1 - first]->accept();
+    cr_assert(contains(other.read_until("\r\n\r\n"), "Last-Event-Id: 1\r\n"));
+    other.send(head + "f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n");
+    const auto rest = caller.read_until("0\r\n\r\n");
+    cr_assert(contains(rest, "id: 2\ndata: b\n\n") && !contains(rest, "X-Signature"), "%s",
+              rest.c_str());
+}
+
+// Guards against a stream that ends early and looks complete to the caller.
+Test(gateway, breaks_off_a_stream_that_no_upstream_can_finish)
+{
+    gateway_site site(1);
+    site.configure();
+    const auto caller = site.call("/stream/", key);
+    {
+        const auto upstream = site.upstreams[0]->accept();
+        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
+    }
+    const auto all = caller.read_all();
+    cr_assert(contains(all, "data: a") && !all.ends_with("0\r\n\r\n"), "%s", all.c_str());
+}
+
+// Guards against upstreams that go on working for callers who have left.
+Test(gateway, cancels_the_work_of_a_caller_that_leaves)
+{
+    gateway_site site(1);
+    site.configure();
+    auto caller = std::make_unique<fakes::raw_connection>(site.call("/unsafe/", key));
+    const auto upstream = site.upstreams[0]->accept();
+    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    caller.reset();
+    cr_assert(upstream.read_all().empty()); // ends, as the connection is closed
+    site.run([&site] { cr_assert(site.target->open_requests() == 0); });
+}
+
+// Guards against requests held past the time that the operator or the caller allows.
+Test(gateway, answers_at_the_deadline)
+{
+    gateway_site site(1);
+    site.configure();
+    const auto start = std::chrono::steady_clock::now();
+    const auto caller = site.call("/unsafe/", key + "X-Deadline: 200\r\n");
+    const auto upstream = site.upstreams[0]->accept();
+    const auto answer = read_answer(caller);
+    const auto took = std::chrono::steady_clock::now() - start;
+    cr_assert(has_status(answer, 504), "%s", answer.c_str());
+    cr_assert(took >= 150ms && took < 700ms);
+}
+
+// Guards against requests that are taken shortly before the process ends and are then cut off.
+Test(gateway, refuses_new_requests_once_closed)
+{
+    gateway_site site(1);
+    site.configure();
+    site.run([&site] { site.target->close(); });
+    const auto answer = read_answer(site.call("/safe/", key));
+    cr_assert(has_status(answer, 503) && contains(answer, "Retry-After: "), "%s", answer.c_str());
+    cr_assert(!site.upstreams[0]->has_pending());
+}
--- /dev/null
+++ b/Tests/platform/test_lockstep_http_engine.cxx
@@ -0,0 +1,43 @@
+#include "platform/lockstep_http_engine.h"
+
+#include <string>
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+
+#include "base/error.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::platform;
+
+// Guards against orders without the fields that keep late and foreign ones from being obeyed.
+Test(lockstep_http_engine, orders_carry_token_and_epoch)
+{
+    const auto encoded = [](const policy::rank_order& order) {
+        return nlohmann::json::parse(encode_order(order, 9, 3));
+    };
+    const nlohmann::json prepare = encoded(policy::prepare_order{{4, {{{0, 2}, {1}}}}});
+    cr_assert(prepare == nlohmann::json::parse(R"({"operation":"prepare","version":4,
+        "map":[[[0,2],[1]]],"fencingToken":9,"epoch":3})"));
+    cr_assert(encoded(policy::arm_order{4, 80}) ==
+              nlohmann::json::parse(
+                  R"({"operation":"arm","version":4,"step":80,"fencingToken":9,"epoch":3})"));
+    cr_assert(encoded(policy::disarm_order{4})["operation"] == "disarm");
+    cr_assert(encoded(policy::hold_order{80})["step"] == 80);
+    cr_assert(encoded(policy::go_order{80})["operation"] == "go");
+}
+
+// Guards against a state of a rank that is read as another one.
+Test(lockstep_http_engine, reads_reports)
+{
+    const auto report = decode_rank_report(
+        R"({"group":{"name":"g","epoch":2,"rank":0,"state":"open"},"step":41,"map":7,
+            "prepared":8,"armed":{"version":8,"step":44},"held":44})");
+    const policy::rank_report expected{2, true, 41, 7, 8, 8, 44};
+    cr_assert(report == expected);
+    const auto idle = decode_rank_report(
+        R"({"group":{"epoch":2,"state":"broken"},"step":0,"map":0,"prepared":null,"armed":null})");
+    const policy::rank_report closed{2, false, 0, 0, {}, {}, {}};
+    cr_assert(idle == closed);
+    cr_assert_throw(decode_rank_report(R"({"step":1})"), error);
+}
--- /dev/null
+++ b/Tests/platform/test_platform_log.cxx
@@ -0,0 +1,124 @@
+#include "platform/platform_log.h"
+
+#include <future>
+#include <string>
+
+#include <criterion/criterion.h>
+
+#include "fakes/raw_socket.h"
+#include "transport/base64.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::platform;
+
+namespace {
+
+const std::string read_head(16, '\0');
+
+std::string json_answer(unsigned status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// A store that the test plays.
+struct scripted_store {
+    scripted_store() { context.start(); }
+    scripted_store(const scripted_store&) = delete;
+    scripted_store& operator=(const scripted_store&) = delete;
+    scripted_store(scripted_store&&) = delete;
+    scripted_store& operator=(scripted_store&&) = delete;
+    ~scripted_store()
+    {
+        context.stop();
+        context.wait();
+    }
+
+    fakes::raw_listener listener;
+    transport::runtime context{1};
+    platform_log log{context, listener.address()};
+    std::promise<gateway::keyed_result> result;
+};
+
+} // namespace
+
+// Guards against records that are cut at the wrong place or read from damaged answers.
+Test(platform_log, decodes_records)
+{
+    const auto bytes = read_head + encode_record("a", "one") + encode_record("bc", "");
+    const auto result = decode_read(bytes, 40);
+    const auto& page = std::get<gateway::keyed_records>(result);
+    cr_assert(page.next == 42 && page.records.size() == 2);
+    cr_assert(page.records[0].key == "a" && page.records[0].value == "one");
+    cr_assert(page.records[1].key == "bc" && page.records[1].value.empty());
+    cr_assert(page.records[1].offset == 41);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        const auto cut = decode_read(std::string_view(bytes).substr(0, n), 0);
+        const bool at_border = n == 16 || n == 16 + encode_record("a", "one").size();
+        cr_assert(std::holds_alternative<gateway::keyed_unavailable>(cut) == !at_border, "%zu", n);
+    }
+    cr_assert(std::holds_alternative<gateway::keyed_unavailable>(
+        decode_read(read_head + std::string("\0\0\0\2\5a", 6), 0)));
+}
+
+// Guards against a listing of several pages whose end is that of the last page: what changes
+// between two pages would be missed.
+Test(platform_log, lists_all_pages_and_keeps_the_first_end)
+{
+    scripted_store store;
+    store.log.list("keyed.t", [&store](auto it) { store.result.set_value(std::move(it)); });
+    const auto connection = store.listener.accept();
+    cr_assert(
+        connection.read_until("\r\n\r\n").starts_with("GET /log-newest?topic=keyed.t&part=0 "));
+    connection.send(json_answer(200, R"({"items":[{"key":"a","value":")" +
+                                         transport::encode_base64("1") +
+                                         R"(","offset":3}],"hasMore":true,"end":4})"));
+    cr_assert(connection.read_until("\r\n\r\n").find("&after=a ") != std::string::npos);
+    connection.send(json_answer(200, R"({"items":[{"key":"b","value":")" +
+                                         transport::encode_base64("2") +
+                                         R"(","offset":5}],"hasMore":false,"end":6})"));
+    const auto result = store.result.get_future().get();
+    const auto& page = std::get<gateway::keyed_records>(result);
+    cr_assert(page.next == 4 && page.records.size() == 2 && page.records[1].value == "2");
+}
+
+// Guards against deleted records, refusals and lost connections that are taken for an empty topic.
+Test(platform_log, tells_deleted_records_from_a_store_that_is_away)
+{
+    for (const unsigned status : {410, 503, 429, 0}) {
+        scripted_store store;
+        store.log.read("keyed.t", 7, std::chrono::milliseconds(50),
+                       [&store](auto it) { store.result.set_value(std::move(it)); });
+        {
+            const auto connection = store.listener.accept();
+            cr_assert(connection.read_until("\r\n\r\n").find("from=7&waitMs=50 ") !=
+                      std::string::npos);
+            if (status != 0) {
+                connection.send(json_answer(status, R"({"first":9})"));
+            }
+        }
+        const auto result = store.result.get_future().get();
+        cr_assert(std::holds_alternative<gateway::keyed_expired>(result) == (status == 410));
+        cr_assert(std::holds_alternative<gateway::keyed_unavailable>(result) == (status != 410));
+    }
+}
+
+// Guards against a token for a record that the store did not acknowledge.
+Test(platform_log, tells_the_offset_of_a_record_only_if_it_was_acknowledged)
+{
+    for (const bool acknowledged : {true, false}) {
+        scripted_store store;
+        std::promise<std::optional<std::uint64_t>> offset;
+        store.log.put("keyed.t", "k", "v", [&offset](auto it) { offset.set_value(it); });
+        {
+            const auto connection = store.listener.accept();
+            const auto text = connection.read_until(encode_record("k", "v"));
+            cr_assert(text.starts_with("POST /log-append?topic=keyed.t&part=0 "));
+            if (acknowledged) {
+                connection.send(json_answer(200, R"({"offset":8,"end":9})"));
+            }
+        }
+        cr_assert(offset.get_future().get() ==
+                  (acknowledged ? std::optional<std::uint64_t>(8) : std::nullopt));
+    }
+}
