--- a/Source/policy/pace_limit.cxx
+++ b/Source/policy/pace_limit.cxx
@@ -71,10 +71,10 @@
     if (!this->is_limited()) {
         return unlimited;
     }
-    const auto work = std::max(this->work_, this->options_.planned_work);
-    const auto reading = this->usual_reading_ms() * work;
-    const auto each = to_ms(this->pace_.step_per_sequence) * this->pace_.steps_per_pass * work;
-    return std::max((this->room_ms() - reading) / each, this->options_.least);
+    const auto each = to_ms(this->pace_.step_per_sequence) * this->pace_.steps_per_pass;
+    const auto now = (this->room_ms() / this->work_ - this->usual_reading_ms()) / each;
+    const auto planned = this->options_.even_part * this->room_ms() / each;
+    return std::max(std::min(now, planned), this->options_.least);
 }
 
 double pace_limit::read_limit(double running) const
--- a/Source/policy/pace_limit.h
+++ b/Source/policy/pace_limit.h
@@ -23,9 +23,9 @@
     /// believed sooner than a fall.
     double rise = 0.7;
     double fall = 0.2;
-    /// Work for which the running requests are limited in any case: popularity shifts at once, and
-    /// the requests that run then stay.
-    double planned_work = 2.6;
+    /// Part of the time left in a pass that writing may take while experts are even: popularity
+    /// shifts at once, to several times the work, and the requests that run then stay.
+    double even_part = 0.23;
     double least = 2;     ///< requests an engine runs in any case
     double most_work = 5; ///< an estimate above this comes from a stall, not from skew
 };
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -5,6 +5,7 @@
 #include <limits>
 #include <numeric>
 #include <ranges>
+#include <set>
 #include <tuple>
 
 #include "base/digest.h"
@@ -81,14 +82,16 @@
 std::vector<assignment> upstream_scheduler::take_ready(time_point now)
 {
     std::vector<assignment> ready;
+    while (const auto owed = this->take_owed(now)) {
+        ready.push_back(*owed);
+    }
     for (auto it = this->waiting_.begin(); it != this->waiting_.end();) {
         auto chosen = this->choose_probe(*it, now);
-        if (!chosen) {
+        if (!chosen && this->has_room(it->priority)) {
             chosen = this->choose(*it, now);
         }
         if (chosen) {
-            ++this->upstreams_[*chosen].own;
-            this->upstreams_[*chosen].starting += it->tokens;
+            this->note_sent(*it, *chosen);
             ready.push_back({it->id, *chosen});
             it = this->waiting_.erase(it);
             continue;
@@ -102,6 +105,45 @@
     return ready;
 }
 
+std::optional<assignment> upstream_scheduler::take_owed(time_point now)
+{
+    constexpr unsigned most_urgent = 0;
+    if (!this->has_room(most_urgent)) {
+        return std::nullopt;
+    }
+    for (auto it = this->waiting_.begin(); it != this->waiting_.end(); ++it) {
+        if (it->priority == most_urgent || this->owed_[it->priority] < 1) {
+            continue;
+        }
+        if (const auto chosen = this->choose(*it, now)) {
+            this->owed_[it->priority] -= 1;
+            const assignment sent{it->id, *chosen};
+            this->note_sent(*it, *chosen);
+            this->waiting_.erase(it);
+            return sent;
+        }
+    }
+    return std::nullopt;
+}
+
+void upstream_scheduler::note_sent(const scheduled_request& request, std::uint64_t upstream)
+{
+    constexpr double most_owed = 3;
+    auto& target = this->upstreams_[upstream];
+    ++target.own;
+    target.starting += request.tokens;
+    std::set<unsigned> passed_over;
+    for (const auto& it : this->waiting_) {
+        if (it.priority > request.priority) {
+            passed_over.insert(it.priority);
+        }
+    }
+    for (const auto priority : passed_over) {
+        auto& owed = this->owed_[priority];
+        owed = std::min(owed + this->options_.floor, most_owed);
+    }
+}
+
 std::vector<std::uint64_t> upstream_scheduler::take_expired(time_point now)
 {
     const auto rate = this->own_rate(now);
@@ -272,9 +314,6 @@
 std::optional<std::uint64_t> upstream_scheduler::choose(const scheduled_request& request,
                                                         time_point now)
 {
-    if (!this->has_room(request.priority)) {
-        return std::nullopt;
-    }
     const auto median = this->median_latency(now);
     std::vector<std::uint64_t> best;
     double best_score = 0;
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -39,6 +39,9 @@
     /// Part of the running requests allowed that each priority may fill; the last entry holds for
     /// all further priorities. What the less urgent leave is free for urgent work at once.
     std::vector<double> part_by_priority{1.0, 0.94, 0.88};
+    /// Part of the requests sent that each priority but the first gets while it has waiting ones,
+    /// so that a flood of more urgent work does not starve it.
+    double floor = 0.05;
     /// How long an upstream gets nothing more after it refused for being full or unready.
     duration refusal_pause = std::chrono::milliseconds(150);
     /// An upstream counts as slow from this multiple of the median latency.
@@ -146,6 +149,8 @@
                                 const scheduled_request& request, time_point now) const;
     [[nodiscard]] double median_latency(time_point now) const;
     [[nodiscard]] double score(const upstream_state& it, double median, time_point now) const;
+    [[nodiscard]] std::optional<assignment> take_owed(time_point now);
+    void note_sent(const scheduled_request& request, std::uint64_t upstream);
     std::optional<std::uint64_t> choose(const scheduled_request& request, time_point now);
     std::optional<std::uint64_t> choose_probe(const scheduled_request& request, time_point now);
 
@@ -155,6 +160,7 @@
     state_map upstreams_;
     outlier_detector outliers_;
     std::vector<scheduled_request> waiting_; ///< in the order in which they are served
+    std::map<unsigned, double> owed_;        ///< requests by priority, from their floors
     double run_limit_;
     double read_limit_;
     std::deque<time_point> ends_; ///< of own requests lately
--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -94,6 +94,29 @@
     cr_assert(less.size() + send(scheduler, 50, 0).size() == 40);
 }
 
+// Guards against a flood of urgent work that leaves nothing for the other kinds.
+Test(upstream_scheduler, serves_less_urgent_work_during_a_flood)
+{
+    auto scheduler = make_scheduler(1, 1);
+    std::uint64_t id = 0;
+    unsigned sent = 0;
+    unsigned less_urgent = 0;
+    for (int n = 0; n < 400; ++n) {
+        scheduler.push(make_request(++id, 0));
+        if (n % 4 == 0) {
+            scheduler.push(make_request(1'000'000 + ++id, 2));
+        }
+        for (const auto& it : scheduler.take_ready(start)) {
+            ++sent;
+            less_urgent += it.request > 1'000'000 ? 1 : 0;
+            scheduler.on_end(it.upstream, 0, start);
+        }
+        scheduler.push(make_request(++id, 0)); // one more than can be served
+    }
+    cr_assert(less_urgent * 10 >= sent - 10, "%u of %u", less_urgent, sent);
+    cr_assert(less_urgent * 8 <= sent, "%u of %u", less_urgent, sent);
+}
+
 // Guards against a queue that serves by arrival when urgent work waits.
 Test(upstream_scheduler, urgent_requests_go_first)
 {
