experts: Finish a switch before a coordinator stops

Change: stop() brings a switch under way to its end; a gateway that hears fewer than half of the others leads only after 8 s.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -58,16 +58,26 @@
     this->tick();
 }
 
-void group_balancer::tick()
+void group_balancer::stop()
 {
-    if (this->stopped_ || this->fenced_) {
-        return;
+    this->stopped_ = true;
+    if (this->rollout_ && !this->fenced_) {
+        this->own_ = this->shared_from_this();
     }
+}
+
+void group_balancer::tick()
+{
+    const auto alive = this->shared_from_this(); // own_ may hold the last reference
     const auto now = this->clock_.now();
-    if (this->rollout_) {
+    if (this->rollout_ && !this->fenced_) {
         this->drive();
     }
-    else if (now >= this->next_look_) {
+    if (this->fenced_ || (this->stopped_ && !this->rollout_)) {
+        this->own_.reset();
+        return;
+    }
+    if (!this->rollout_ && now >= this->next_look_) {
         this->next_look_ = now + this->options_.poll_interval;
         this->look();
     }
@@ -365,7 +375,7 @@
     if (it.sent_rollout == rollout && it.sent_round == round) {
         it.sent = false;
     }
-    if (this->stopped_ || !this->rollout_ || rollout != this->rollout_number_) {
+    if (!this->rollout_ || rollout != this->rollout_number_) {
         return;
     }
     if (order && reply.result == policy::order_result::fenced) {
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -73,8 +73,9 @@
     /// @param token higher than those of all earlier coordinators of the group
     void start(std::uint64_t token);
 
-    /// Stops; orders under way end by themselves.
-    void stop() { this->stopped_ = true; }
+    /// Begins nothing more. A switch under way is brought to its end first, because a group that is
+    /// left held makes no pass until another coordinator frees it; the object lives until then.
+    void stop();
 
     /// @return whether another coordinator has taken over
     [[nodiscard]] bool is_fenced() const { return this->fenced_; }
@@ -124,6 +125,7 @@
     event_log log_{"experts"};
     std::uint64_t token_ = 0;
     bool stopped_ = false;
+    std::shared_ptr<group_balancer> own_; ///< this object, from stop() to the end of the switch
     bool fenced_ = false;
     std::uint64_t proposals_ = 0;
     std::uint64_t switches_ = 0;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -43,6 +43,10 @@
 // A gateway that has just started hears the others first, before it takes itself for the only one.
 constexpr auto first_election = std::chrono::milliseconds(1500);
 
+// A gateway that hears few others coordinates only after this time: longer than most cuts, and the
+// first gateway on the other side goes on meanwhile.
+constexpr auto lone_election = std::chrono::seconds(8);
+
 std::uint64_t random_number()
 {
     std::random_device source;
@@ -290,11 +294,20 @@
     // token of the later one ends the earlier one.
     const auto now = this->clock_.now();
     const auto alive = this->peers_->table().alive(now);
-    const bool leads =
+    const bool is_first =
         this->is_ready() && std::ranges::none_of(alive, [this](const policy::peer_beat& peer) {
             return peer.serving && peer.instance < this->settings_.instance;
         });
-    this->coordination_.lead(leads && now >= this->started_ + first_election, now);
+    // A gateway that hears fewer than half of the others is more likely cut off than left over.
+    const bool is_cut_off = 2 * (alive.size() + 1) <= this->peers_->table().known();
+    if (!is_first || !is_cut_off) {
+        this->alone_since_.reset();
+    }
+    else if (!this->alone_since_) {
+        this->alone_since_ = now;
+    }
+    const bool waits = this->alone_since_ && now - *this->alone_since_ < lone_election;
+    this->coordination_.lead(is_first && !waits && now >= this->started_ + first_election, now);
 }
 
 void gateway_process::on_peers()
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -130,6 +130,7 @@
     time_point started_{};
     time_point last_request_{};
     time_point last_busy_{};                     ///< when a request was last seen open
+    std::optional<time_point> alone_since_;      ///< first by name, but hears few others
     std::optional<time_point> peer_ahead_since_; ///< in the list of upstreams
     bool fetching_config_ = false;
     bool announced_ = false;
--- a/Tests/policy/test_placement_search.cxx
+++ b/Tests/policy/test_placement_search.cxx
@@ -25,7 +25,8 @@
 {
     std::vector<double> loads;
     for (unsigned n = 1; n <= experts; ++n) {
-        loads.push_back(1000.0 / (n * (1 + 0.1 * (random() % 5))));
+        const auto jitter = std::uniform_real_distribution<>(1, 1.4)(random);
+        loads.push_back(1000.0 / (n * jitter));
     }
     std::ranges::shuffle(loads, random);
     return loads;
--- a/Tests/transport/test_http_server.cxx
+++ b/Tests/transport/test_http_server.cxx
@@ -180,7 +180,9 @@
           "Host: a\r\nTransfer-Encoding: chunked, chunked\r\n",
           "Host: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n", "",
           "Host: a\r\nHost: b\r\n"}) {
-        const auto got = send_raw(pair.server, "POST / HTTP/1.1\r\n" + headers + "\r\n" + inner);
+        auto bytes = "POST / HTTP/1.1\r\n" + headers;
+        bytes += "\r\n" + inner;
+        const auto got = send_raw(pair.server, bytes);
         expect_error(got, 400, "invalid_argument", "not-run");
         cr_assert(got.find("/inner") == std::string::npos, "%s", got.c_str());
     }
