--- a/Source/policy/pace_limit.cxx
+++ b/Source/policy/pace_limit.cxx
@@ -89,7 +89,10 @@
     // Engines read at most a chunk a step, so more at once does not lengthen a pass further.
     const auto most =
         static_cast<double>(this->pace_.chunk) * static_cast<double>(this->pace_.steps_per_pass);
-    return most > 0 && tokens >= most ? unlimited : std::max(tokens, 0.0);
+    if (most > 0 && tokens >= most) {
+        return unlimited;
+    }
+    return std::max(tokens, 0.0);
 }
 
 double pace_limit::usual_reading_ms() const
