commands: Check the platform's settings, refuse empty and binary files

Cause: check called an empty file and a file of binary bytes well formed with 0 resources, and knew nothing of the platform's settings. Two tests fail first.

--- a/Source/commands/check_command.cxx
+++ b/Source/commands/check_command.cxx
@@ -13,6 +13,7 @@
 #include "model/process_settings.h"
 #include "model/resource_check.h"
 #include "model/resource_text.h"
+#include "platform/node_settings.h"
 
 namespace medlaryoke::commands {
 
@@ -26,9 +27,27 @@
                documents.front().members.end();
 }
 
+/// Refuses bytes that no editor writes, before they are taken for an empty document.
+void check_is_text(const std::string& text, const std::string& path)
+{
+    const auto is_control = [](char c) {
+        return static_cast<unsigned char>(c) < ' ' && c != '\t' && c != '\n' && c != '\r';
+    };
+    if (std::ranges::any_of(text, is_control)) {
+        throw error(error_kind::invalid_argument, fmt::format("{} is not a text file", path),
+                    "Name a YAML file, or the JSON settings file of a platform.");
+    }
+}
+
 void check_file(const std::string& path, std::vector<model::declared_resource>& resources)
 {
     const auto text = read_text_file(path);
+    check_is_text(text, path);
+    if (platform::is_node_settings(text)) {
+        platform::decode_node_settings(text, 0);
+        std::cout << fmt::format("{}: settings of the platform are valid\n", path);
+        return;
+    }
     const auto documents = read_yaml(text, path);
     if (has_key(documents, "agent")) {
         model::parse_agent_settings(text, path);
@@ -40,6 +59,11 @@
     }
     else {
         auto found = model::parse_resources(text, path);
+        if (found.empty()) {
+            throw error(error_kind::invalid_argument,
+                        fmt::format("{} has neither settings nor resources", path),
+                        "Name a file with at least one document.");
+        }
         std::cout << fmt::format("{}: {} resources are well formed\n", path, found.size());
         std::ranges::move(found, std::back_inserter(resources));
     }
@@ -52,7 +76,9 @@
     auto* command = app.add_subcommand(
         "check", "Check settings and resources; resources of all files form one configuration");
     const auto files = std::make_shared<std::vector<std::string>>();
-    command->add_option("files", *files, "YAML files")->required()->type_name("FILE");
+    command->add_option("files", *files, "YAML files, or settings files of the platform")
+        ->required()
+        ->type_name("FILE");
     command->footer("Exit codes: 0 all files are valid, 1 a file is not valid, "
                     "2 wrong command line.");
     command->callback([files] { check_command::run(*files); });
--- a/Tests/commands/test_config_commands.cxx
+++ b/Tests/commands/test_config_commands.cxx
@@ -184,6 +184,35 @@
               "%s", result.out.c_str());
 }
 
+// Guards against an empty or binary file that passes as a configuration of nothing.
+Test(config_commands, check_refuses_files_without_content)
+{
+    for (const auto& content : {std::string(), std::string("# only a comment\n"),
+                                std::string("\0\x01\x7f"
+                                            "ELF",
+                                            6)}) {
+        const scratch_file file(content);
+        const auto result = run_command({"check", file.path});
+        cr_assert(result.code == 1, "%s", result.out.c_str());
+        cr_assert(result.err.find(file.path) != std::string::npos, "%s", result.err.c_str());
+    }
+}
+
+// Guards against settings of the platform that fail only when a process starts.
+Test(config_commands, check_reads_settings_of_the_platform)
+{
+    const std::string good =
+        R"({"nodeName":"e","zone":"z","ip":"10.0.0.1","listen":{"front":"10.0.0.1:1",
+            "readiness":"10.0.0.1:2"},"internalPortRange":[7000,7001],
+            "platform":{"address":"10.0.0.9:1"}})";
+    const scratch_file valid(good);
+    cr_assert(run_command({"check", valid.path}).code == 0);
+    const scratch_file broken(R"({"nodeName":"e","zone":"z"})");
+    const auto result = run_command({"check", broken.path});
+    cr_assert(result.code == 1 && result.err.find("listen") != std::string::npos, "%s",
+              result.err.c_str());
+}
+
 // Guards against a check that passes over a mistake or hides its place.
 Test(config_commands, check_names_each_problem)
 {
