--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -39,8 +39,8 @@
     /// Part of the running requests allowed that each priority may fill; the last entry holds for
     /// all further priorities. What the less urgent leave is free for urgent work at once.
     std::vector<double> part_by_priority{1.0, 0.94, 0.88};
-    /// Part of the requests sent that each priority but the first gets while it has waiting ones,
-    /// so that a flood of more urgent work does not starve it.
+    /// Requests that each priority but the first gets for each more urgent one that is sent while
+    /// it waits, so that a flood of more urgent work does not starve it.
     double floor = 0.05;
     /// How long an upstream gets nothing more after it refused for being full or unready.
     duration refusal_pause = std::chrono::milliseconds(150);
