base: Map log levels to spdlog in one place

The structured log repeated the table of the text log; both now call one function. gateway_process kept a flag that nothing read; it is gone. Behaviour is unchanged.

--- a/Source/base/event_log.cxx
+++ b/Source/base/event_log.cxx
@@ -10,6 +10,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 
 #include "base/json_text.h"
+#include "base/spdlog_level.h"
 
 namespace medlaryoke {
 
@@ -31,21 +32,6 @@
     return instance;
 }
 
-spdlog::level::level_enum to_spdlog(log_level level)
-{
-    switch (level) {
-    case log_level::debug:
-        return spdlog::level::debug;
-    case log_level::info:
-        return spdlog::level::info;
-    case log_level::warning:
-        return spdlog::level::warn;
-    case log_level::error:
-        return spdlog::level::err;
-    }
-    return spdlog::level::info;
-}
-
 /// @return whether this second's share of lines allows another one
 bool take_token()
 {
--- a/Source/base/logging.cxx
+++ b/Source/base/logging.cxx
@@ -7,6 +7,7 @@
 #include <spdlog/spdlog.h>
 
 #include "base/json_text.h"
+#include "base/spdlog_level.h"
 
 namespace medlaryoke {
 
@@ -24,21 +25,6 @@
     return instance;
 }
 
-spdlog::level::level_enum to_spdlog(log_level level)
-{
-    switch (level) {
-    case log_level::debug:
-        return spdlog::level::debug;
-    case log_level::info:
-        return spdlog::level::info;
-    case log_level::warning:
-        return spdlog::level::warn;
-    case log_level::error:
-        return spdlog::level::err;
-    }
-    return spdlog::level::info;
-}
-
 } // namespace
 
 void configure_logging(log_format format, log_level level, const std::string& instance)
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -202,7 +202,6 @@
 {
     this->store_->put(this->adapter_.gateways_topic, this->settings_.instance,
                       this->settings_.beat_address, [this](std::optional<std::uint64_t> offset) {
-                          this->announced_ = offset.has_value();
                           if (!offset && !this->draining_) {
                               this->context_.after(announce_retry, [this] { this->announce(); });
                           }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -133,7 +133,6 @@
     std::optional<time_point> alone_since_;      ///< first by name, but hears few others
     std::optional<time_point> peer_ahead_since_; ///< in the list of upstreams
     bool fetching_config_ = false;
-    bool announced_ = false;
     bool draining_ = false;
 };
 
