experts: Take work from slow ranks, and log orders sent from afar

Cause: all ranks wait for the slowest, and maps were balanced as if all were equally fast.

Change: reports carry the pace; `map_search` weighs a rank's tokens with it, may take an expert from a slow rank without a copy, and leaves each rank one expert in a set. Logs name silent agents and orders sent from afar.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -1,6 +1,7 @@
 #include "experts/group_balancer.h"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 #include <utility>
 
@@ -248,7 +249,10 @@
         options.copies_per_rank = static_cast<unsigned>(std::clamp<duration::rep>(
             affordable, 1, static_cast<duration::rep>(options.copies_per_rank)));
     }
-    this->search_.emplace(this->shape_, *this->current_, this->loads_, options);
+    std::vector<double> pace;
+    std::ranges::transform(this->ranks_, std::back_inserter(pace),
+                           [](const rank_state& it) { return it.report->pace; });
+    this->search_.emplace(this->shape_, *this->current_, this->loads_, pace, options);
     this->search_on();
 }
 
@@ -279,6 +283,14 @@
     return 1 - this->options_.expert_part + this->options_.expert_part * skew;
 }
 
+double group_balancer::slowest_pace() const
+{
+    return std::transform_reduce(
+        this->ranks_.begin(), this->ranks_.end(), 1.0,
+        [](double a, double b) { return std::max(a, b); },
+        [](const rank_state& it) { return it.report ? it.report->pace : 1.0; });
+}
+
 void group_balancer::finish_search()
 {
     auto target = this->search_->map();
@@ -292,6 +304,7 @@
                       {{"group", this->name_},
                        {"work_before", before},
                        {"work_after", after},
+                       {"slowest_pace", this->slowest_pace()},
                        {"copies", static_cast<std::int64_t>(copies)}});
     if (worthwhile) {
         this->begin_rollout(std::move(target));
--- a/Source/experts/rank_link.cxx
+++ b/Source/experts/rank_link.cxx
@@ -19,8 +19,8 @@
 rank_link::rank_link(transport::runtime& context, const clock_source& clock,
                      const std::string& agent_address, std::unique_ptr<lockstep_engine> engine,
                      duration report_lag)
-    : context_(context), clock_(clock), report_lag_(report_lag), agent_(context, agent_address),
-      engine_(std::move(engine))
+    : context_(context), clock_(clock), report_lag_(report_lag), agent_address_(agent_address),
+      agent_(context, agent_address), engine_(std::move(engine))
 {
 }
 
@@ -42,6 +42,8 @@
                 }
             }
             self->agent_silent_until_ = self->clock_.now() + agent_pause;
+            self->log_.note(log_level::warning, "agent does not answer",
+                            {{"agent", self->agent_address_}});
             done({policy::order_result::unanswered, {}, {}, {}});
         });
 }
@@ -66,7 +68,15 @@
         read_later(policy::order_result::done);
         return;
     }
-    this->engine_->order(*request.order, request.token, request.epoch, read_later);
+    this->engine_->order(*request.order, request.token, request.epoch,
+                         [self, request, read_later](policy::order_result result) {
+                             self->log_.sample(log_level::info, "order sent from afar",
+                                               {{"agent", self->agent_address_},
+                                                {"order", policy::order_name(*request.order)},
+                                                {"token", static_cast<std::int64_t>(request.token)},
+                                                {"result", policy::to_string(result)}});
+                             read_later(result);
+                         });
 }
 
 } // namespace medlaryoke::experts
--- a/Source/experts/rank_link.h
+++ b/Source/experts/rank_link.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/event_log.h"
 #include "experts/lockstep_engine.h"
 #include "experts/rank_messages.h"
 #include "transport/http_client.h"
@@ -44,6 +45,8 @@
     transport::runtime& context_;
     const clock_source& clock_;
     duration report_lag_;
+    std::string agent_address_;
+    event_log log_{"experts"};
     transport::http_client agent_;
     std::unique_ptr<lockstep_engine> engine_;
     time_point agent_silent_until_{};
--- a/Source/experts/rank_messages.cxx
+++ b/Source/experts/rank_messages.cxx
@@ -88,6 +88,7 @@
     if (report.held) {
         answer.set_held(*report.held);
     }
+    answer.set_pace(report.pace);
 }
 
 policy::rank_report decode_report(const wire::rank_answer& answer)
@@ -106,6 +107,7 @@
     if (answer.has_held()) {
         report.held = answer.held();
     }
+    report.pace = answer.has_pace() ? answer.pace() : 1;
     return report;
 }
 
--- a/Source/policy/map_search.cxx
+++ b/Source/policy/map_search.cxx
@@ -7,11 +7,12 @@
 namespace medlaryoke::policy {
 
 map_search::map_search(const group_shape& shape, const expert_map& current,
-                       const std::vector<std::vector<double>>& loads, map_search_options options)
+                       const std::vector<std::vector<double>>& loads,
+                       const std::vector<double>& pace, map_search_options options)
     : shape_(shape), options_(options), copies_(shape.ranks)
 {
     for (unsigned set = 0; set < shape.sets; ++set) {
-        this->sets_.push_back({placement_search(shape, current.sets[set], loads[set])});
+        this->sets_.push_back({placement_search(shape, current.sets[set], loads[set], pace)});
     }
     this->mean_skew_before_ = this->mean_skew();
 }
--- a/Source/policy/map_search.h
+++ b/Source/policy/map_search.h
@@ -25,9 +25,11 @@
     /// @param shape bounds of the group
     /// @param current the map in use
     /// @param loads tokens by set and expert; not negative
+    /// @param pace how many times as long as usual each rank takes for its tokens; empty: once
     /// @param options bounds of one switch
     map_search(const group_shape& shape, const expert_map& current,
-               const std::vector<std::vector<double>>& loads, map_search_options options);
+               const std::vector<std::vector<double>>& loads, const std::vector<double>& pace,
+               map_search_options options);
 
     /// Makes the best single change of the most skewed set that can still be improved.
     /// @return whether there was one
@@ -36,8 +38,8 @@
     /// @return the map after the changes, without a version
     [[nodiscard]] expert_map map() const;
 
-    /// @return highest load of a rank over the mean before the changes, on average over the sets:
-    /// the sets of layers are worked through one after the other
+    /// @return longest time of a rank over that of a usual rank with the mean load, before the
+    /// changes and on average over the sets: these are worked through one after the other
     [[nodiscard]] double mean_skew_before() const { return this->mean_skew_before_; }
 
     /// @return the same after the changes
--- a/Source/policy/placement_search.cxx
+++ b/Source/policy/placement_search.cxx
@@ -8,22 +8,27 @@
 
 namespace {
 
-/// Weighs high loads so that the highest rank decides and ties fall to the more even rest.
-double weight(double load)
+/// Weighs long times so that the slowest rank decides and ties fall to the more even rest.
+double weight(double time)
 {
-    const auto square = load * load;
+    const auto square = time * time;
     return square * square * square;
 }
 
+// From this pace on an expert is taken from a rank without a replacement. Elsewhere such copies
+// stay: they make the next shift of popularity less steep.
+constexpr double slow_pace = 1.3;
+
 } // namespace
 
 placement_search::placement_search(const group_shape& shape, set_placement current,
-                                   std::span<const double> loads)
+                                   std::span<const double> loads, std::span<const double> pace)
     : shape_(shape), original_(std::move(current)), placement_(original_),
       loads_(loads.begin(), loads.end()), holders_(shape.experts), rank_loads_(shape.ranks),
-      room_(shape.ranks), shifts_(shape.ranks)
+      pace_(pace.begin(), pace.end()), room_(shape.ranks), shifts_(shape.ranks)
 {
     this->loads_.resize(shape.experts);
+    this->pace_.resize(shape.ranks, 1.0);
     const auto total = std::accumulate(this->loads_.begin(), this->loads_.end(), 0.0);
     if (total > 0) {
         const auto mean = total / shape.ranks;
@@ -48,14 +53,17 @@
         std::ranges::transform(room, this->room_.begin(),
                                [this](unsigned it) { return std::min(it, this->shape_.spare); });
     }
-    const auto hottest = static_cast<unsigned>(std::ranges::max_element(this->rank_loads_) -
-                                               this->rank_loads_.begin());
-    const auto highest = this->rank_loads_[hottest];
+    const auto slowest = this->slowest_rank();
+    const auto longest = this->time_of(slowest, this->rank_loads_[slowest]);
     candidate found;
-    for (const auto expert : this->placement_[hottest]) {
+    const bool may_drop = this->pace_[slowest] >= slow_pace && this->placement_[slowest].size() > 1;
+    for (const auto expert : this->placement_[slowest]) {
+        if (may_drop && this->holders_[expert].size() > 1) {
+            this->consider({expert, std::nullopt, std::nullopt, slowest}, found);
+        }
         for (unsigned rank = 0; rank < this->shape_.ranks; ++rank) {
-            if (rank != hottest && !this->holds(rank, expert)) {
-                this->consider_rank(expert, hottest, rank, found);
+            if (rank != slowest && !this->holds(rank, expert)) {
+                this->consider_rank(expert, slowest, rank, found);
             }
         }
     }
@@ -63,9 +71,10 @@
         return false;
     }
     this->apply(*found.best);
-    // Several ranks may be equally loaded; evening out one of them is progress as well.
-    const auto fall = highest - *std::ranges::max_element(this->rank_loads_);
-    if (fall < min_gain && found.gain / weight(std::max(highest, 1.0)) < min_gain) {
+    // Several ranks may be equally slow; evening out one of them is progress as well.
+    const auto next = this->slowest_rank();
+    const auto fall = longest - this->time_of(next, this->rank_loads_[next]);
+    if (fall < min_gain && found.gain / weight(std::max(longest, 1.0)) < min_gain) {
         this->undo(*found.best);
         return false;
     }
@@ -78,7 +87,9 @@
     const bool has_place = this->placement_[rank].size() < this->shape_.placements;
     if (has_place && this->may_add(rank, expert, std::nullopt)) {
         this->consider({expert, rank, std::nullopt, std::nullopt}, found);
-        this->consider({expert, rank, std::nullopt, from}, found);
+        if (this->placement_[from].size() > 1) {
+            this->consider({expert, rank, std::nullopt, from}, found);
+        }
     }
     for (const auto other : this->placement_[rank]) {
         if (!this->may_add(rank, expert, other)) {
@@ -110,7 +121,8 @@
     double gain = 0;
     for (const auto rank : this->touched_) {
         const auto load = this->rank_loads_[rank];
-        gain += weight(load) - weight(load + this->shifts_[rank]);
+        gain += weight(this->time_of(rank, load)) -
+                weight(this->time_of(rank, load + this->shifts_[rank]));
         this->shifts_[rank] = 0; // a rank that was touched twice counts once
     }
     this->touched_.clear();
@@ -167,9 +179,11 @@
 void placement_search::apply(const change& it)
 {
     if (it.replaced) {
-        this->remove(it.rank, *it.replaced);
+        this->remove(*it.rank, *it.replaced);
+    }
+    if (it.rank) {
+        this->add(*it.rank, it.expert);
     }
-    this->add(it.rank, it.expert);
     if (it.source) {
         this->remove(*it.source, it.expert);
         if (it.replaced) {
@@ -186,9 +200,11 @@
         }
         this->add(*it.source, it.expert);
     }
-    this->remove(it.rank, it.expert);
+    if (it.rank) {
+        this->remove(*it.rank, it.expert);
+    }
     if (it.replaced) {
-        this->add(it.rank, *it.replaced);
+        this->add(*it.rank, *it.replaced);
     }
 }
 
@@ -220,11 +236,30 @@
     }
 }
 
+double placement_search::time_of(unsigned rank, double load) const
+{
+    return load * this->pace_[rank];
+}
+
+unsigned placement_search::slowest_rank() const
+{
+    unsigned slowest = 0;
+    for (unsigned rank = 1; rank < this->shape_.ranks; ++rank) {
+        if (this->time_of(rank, this->rank_loads_[rank]) >
+            this->time_of(slowest, this->rank_loads_[slowest])) {
+            slowest = rank;
+        }
+    }
+    return slowest;
+}
+
 double placement_search::skew() const
 {
-    const auto total = std::accumulate(this->rank_loads_.begin(), this->rank_loads_.end(), 0.0);
-    return total > 0 ? *std::ranges::max_element(this->rank_loads_) * this->shape_.ranks / total
-                     : 1;
+    const auto total = std::reduce(this->rank_loads_.begin(), this->rank_loads_.end());
+    const auto slowest = this->slowest_rank();
+    return total > 0
+               ? this->time_of(slowest, this->rank_loads_[slowest]) * this->shape_.ranks / total
+               : 1;
 }
 
 unsigned placement_search::copies_of(unsigned rank) const
--- a/Source/policy/placement_search.h
+++ b/Source/policy/placement_search.h
@@ -11,7 +11,7 @@
 namespace medlaryoke::policy {
 
 /// Improves the placement of one set step by step, for popularity that shifts within seconds: each
-/// step makes the one change at the most loaded rank that evens the load most, so that the first
+/// step makes the one change at the slowest rank that evens the load most, so that the first
 /// steps bring most of the gain and few experts are copied. No rank takes in more experts than it
 /// has room for beside those that it still serves with. A step weighs only the ranks that a change
 /// touches, because a group of 72 ranks with 12 sets takes hundreds of steps between two shifts.
@@ -21,8 +21,9 @@
     /// @param shape bounds of the group
     /// @param current the placement in use
     /// @param loads tokens by expert; not negative
-    placement_search(const group_shape& shape, set_placement current,
-                     std::span<const double> loads);
+    /// @param pace how many times as long as usual each rank takes for its tokens; empty: once
+    placement_search(const group_shape& shape, set_placement current, std::span<const double> loads,
+                     std::span<const double> pace = {});
 
     /// Makes the best single change.
     /// @param min_gain least fall of the highest load, in parts of the mean load
@@ -31,7 +32,7 @@
     /// @return whether there was one
     bool improve_once(double min_gain, std::span<const unsigned> room = {});
 
-    /// @return highest load of a rank over the mean; 1 without load
+    /// @return longest time of a rank over that of a usual rank with the mean load; 1 without load
     [[nodiscard]] double skew() const;
 
     /// @return the placement after the changes
@@ -45,12 +46,13 @@
 
 private:
     /// Adds an expert to a rank, in place of another one or on a free place; in an exchange the
-    /// replaced one goes to the rank from which the expert comes.
+    /// replaced one goes to the rank from which the expert comes. Or only takes an expert from a
+    /// rank, which needs no copy.
     struct change {
         unsigned expert = 0;
-        unsigned rank = 0;
+        std::optional<unsigned> rank; ///< takes the expert in
         std::optional<unsigned> replaced;
-        std::optional<unsigned> source; ///< rank that gives the expert away
+        std::optional<unsigned> source; ///< gives the expert away
     };
 
     /// The best change seen in a step.
@@ -63,6 +65,8 @@
     [[nodiscard]] bool held_before(unsigned rank, unsigned expert) const;
     [[nodiscard]] bool may_add(unsigned rank, unsigned expert,
                                std::optional<unsigned> replaced) const;
+    [[nodiscard]] double time_of(unsigned rank, double load) const;
+    [[nodiscard]] unsigned slowest_rank() const;
     [[nodiscard]] double gain_of(const change& it);
     void consider(const change& it, candidate& found);
     void consider_rank(unsigned expert, unsigned from, unsigned rank, candidate& found);
@@ -80,6 +84,7 @@
     std::vector<double> loads_;                  ///< by expert, in parts of the mean load of a rank
     std::vector<std::vector<unsigned>> holders_; ///< ranks by expert
     std::vector<double> rank_loads_;
+    std::vector<double> pace_;      ///< by rank
     std::vector<unsigned> room_;    ///< by rank, in this step
     std::vector<double> shifts_;    ///< by rank, change of its load; zero outside gain_of
     std::vector<unsigned> touched_; ///< ranks with a shift
--- a/Source/policy/rank_order.h
+++ b/Source/policy/rank_order.h
@@ -66,6 +66,7 @@
     std::optional<std::uint64_t> prepared; ///< version, once it is copied
     std::optional<std::uint64_t> armed;    ///< version
     std::optional<std::uint64_t> held;     ///< pass
+    double pace = 1; ///< how many times as long as usual the rank takes for its work
 
     bool operator==(const rank_report&) const = default;
 };
--- a/Tests/platform/test_lockstep_http_engine.cxx
+++ b/Tests/platform/test_lockstep_http_engine.cxx
@@ -27,16 +27,18 @@
     cr_assert(encoded(policy::go_order{80})["operation"] == "go");
 }
 
-// Guards against a state of a rank that is read as another one.
+// Guards against a state of a rank that is read as another one, and against a pace that stops all
+// work.
 Test(lockstep_http_engine, reads_reports)
 {
     const auto report = decode_rank_report(
         R"({"group":{"name":"g","epoch":2,"rank":0,"state":"open"},"step":41,"map":7,
-            "prepared":8,"armed":{"version":8,"step":44},"held":44})");
-    const policy::rank_report expected{2, true, 41, 7, 8, 8, 44};
+            "prepared":8,"armed":{"version":8,"step":44},"held":44,"pace":3.5})");
+    const policy::rank_report expected{2, true, 41, 7, 8, 8, 44, 3.5};
     cr_assert(report == expected);
     const auto idle = decode_rank_report(
-        R"({"group":{"epoch":2,"state":"broken"},"step":0,"map":0,"prepared":null,"armed":null})");
+        R"({"group":{"epoch":2,"state":"broken"},"step":0,"map":0,"prepared":null,"armed":null,
+            "pace":0})");
     const policy::rank_report closed{2, false, 0, 0, {}, {}, {}};
     cr_assert(idle == closed);
     cr_assert_throw(decode_rank_report(R"({"step":1})"), error);
--- a/Tests/policy/test_map_search.cxx
+++ b/Tests/policy/test_map_search.cxx
@@ -65,7 +65,7 @@
     double now = 0;
     double work = 0;
     while (now < until) {
-        map_search search(shape, map, loads, {copies_per_rank, 0.03});
+        map_search search(shape, map, loads, {}, {copies_per_rank, 0.03});
         while (search.improve_once()) {
         }
         const auto copies = copies_by_rank(map, search.map());
@@ -93,7 +93,7 @@
     for (const auto& shape : {small_group, large_group}) {
         for (const unsigned limit : {1U, 3U, 7U}) {
             const auto before = map_in_turn(shape);
-            map_search search(shape, before, shifted_popularity(shape, random), {limit, 0.03});
+            map_search search(shape, before, shifted_popularity(shape, random), {}, {limit, 0.03});
             while (search.improve_once()) {
             }
             const auto copies = copies_by_rank(before, search.map());
@@ -115,7 +115,7 @@
         loads[set].front() = 2.0;
     }
     const auto before = map_in_turn(large_group);
-    map_search search(large_group, before, loads, {1, 0.03});
+    map_search search(large_group, before, loads, {}, {1, 0.03});
     cr_assert(search.improve_once());
     const auto after = search.map();
     for (std::size_t set = 0; set + 1 < loads.size(); ++set) {
@@ -148,10 +148,56 @@
 {
     std::mt19937 random(13);
     map_search search(large_group, map_in_turn(large_group),
-                      shifted_popularity(large_group, random), {7, 0.03});
+                      shifted_popularity(large_group, random), {}, {7, 0.03});
     unsigned steps = 0;
     while (search.improve_once()) {
         ++steps;
     }
     cr_assert(steps < 800, "%u steps", steps);
 }
+
+// Guards against a group that is as slow as its slowest rank: when one engine took four times as
+// long, every pass did, and all streams were late until it recovered. A few switches must leave
+// that rank so few tokens that passes are at most half again as long as without it.
+Test(map_search, takes_work_from_a_slow_rank)
+{
+    std::mt19937 random(17);
+    for (const auto& shape : {small_group, large_group}) {
+        const auto affordable =
+            std::max<unsigned>(1, static_cast<unsigned>(120ms / shape.copy_time));
+        const auto loads = shifted_popularity(shape, random);
+        const auto after_switches = [&](const std::vector<double>& pace) {
+            auto map = map_in_turn(shape);
+            double skew = 0;
+            for (int n = 0; n < 6; ++n) {
+                map_search search(shape, map, loads, pace, {affordable, 0.03});
+                while (search.improve_once()) {
+                }
+                map = search.map();
+                skew = search.mean_skew();
+            }
+            for (const auto& placement : map.sets) {
+                cr_assert(std::ranges::none_of(placement, &std::vector<unsigned>::empty));
+            }
+            return skew;
+        };
+        std::vector<double> pace(shape.ranks, 1.0);
+        const auto usual = after_switches(pace);
+        pace[3] = 4;
+        const auto slow = after_switches(pace);
+        cr_assert(slow < 1.5 * usual, "%u ranks: %f, %f", shape.ranks, usual, slow);
+    }
+}
+
+// Guards against copies where none are needed: a hot expert with several ranks is taken from a slow
+// one at once.
+Test(map_search, takes_an_expert_from_a_slow_rank_without_a_copy)
+{
+    const group_shape shape{2, 1, 3, 3, 2};
+    const expert_map shared{1, {{{0, 1}, {0, 2}}}};
+    map_search search(shape, shared, {{1000.0, 10.0, 10.0}}, {4.0, 1.0}, {0, 0.03});
+    cr_assert(search.improve_once());
+    cr_assert(search.copies() == 0);
+    const expert_map expected{0, {{{1}, {0, 2}}}};
+    cr_assert(search.map() == expected);
+}
