--- a/Source/base/event_log.cxx
+++ b/Source/base/event_log.cxx
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <thread>
 
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
@@ -16,8 +17,22 @@
 
 namespace {
 
+/// Standard output that counts the lines it has written.
+class counting_sink final : public spdlog::sinks::stdout_sink_mt {
+public:
+    void log(const spdlog::details::log_msg& line) override
+    {
+        spdlog::sinks::stdout_sink_mt::log(line);
+        ++this->written;
+    }
+
+    std::atomic<std::uint64_t> written = 0;
+};
+
 struct event_log_state {
     std::shared_ptr<spdlog::details::thread_pool> pool;
+    std::shared_ptr<counting_sink> output;
+    std::atomic<std::uint64_t> queued = 0; ///< lines given to the thread that writes
     std::shared_ptr<spdlog::async_logger> sink;
     event_log_options options;
     std::mutex mutex;
@@ -62,6 +77,7 @@
         std::visit([&](const auto& value) { line[std::string(field.name)] = value; }, field.value);
     }
     const auto text = to_json_text(line);
+    ++current.queued;
     // The opening brace is part of the pattern, which adds the time and the level.
     current.sink->log(to_spdlog(level), "{}", std::string_view(text).substr(1));
 }
@@ -73,9 +89,9 @@
     auto& current = state();
     current.options = options;
     current.pool = std::make_shared<spdlog::details::thread_pool>(options.queue_lines, 1);
+    current.output = std::make_shared<counting_sink>();
     current.sink = std::make_shared<spdlog::async_logger>(
-        "events", std::make_shared<spdlog::sinks::stdout_sink_mt>(), current.pool,
-        spdlog::async_overflow_policy::overrun_oldest);
+        "events", current.output, current.pool, spdlog::async_overflow_policy::overrun_oldest);
     current.sink->set_level(to_spdlog(options.level));
     current.sink->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v)");
 }
@@ -98,6 +114,21 @@
     }
 }
 
+bool drain_event_log(duration limit)
+{
+    constexpr auto poll_interval = std::chrono::milliseconds(5);
+    const auto& current = state();
+    const auto until = std::chrono::steady_clock::now() + limit;
+    while (current.sink &&
+           current.output->written + current.pool->overrun_counter() < current.queued) {
+        if (std::chrono::steady_clock::now() >= until) {
+            return false;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return true;
+}
+
 std::uint64_t dropped_log_lines()
 {
     return state().dropped;
--- a/Source/base/event_log.h
+++ b/Source/base/event_log.h
@@ -52,6 +52,11 @@
     std::string_view part_;
 };
 
+/// Waits until the lines written so far have left the process.
+/// @param limit longest wait
+/// @return false if the output is blocked; the thread that writes cannot be ended then
+[[nodiscard]] bool drain_event_log(duration limit);
+
 /// @return lines that were dropped for their volume since the start
 std::uint64_t dropped_log_lines();
 
--- a/Source/commands/gateway_command.cxx
+++ b/Source/commands/gateway_command.cxx
@@ -5,6 +5,7 @@
 #include <CLI/App.hpp>
 
 #include "base/event_log.h"
+#include "commands/end_logging.h"
 #include "gateway/gateway_process.h"
 #include "platform/node_settings.h"
 #include "platform/platform_deployment.h"
@@ -24,6 +25,7 @@
         gateway::gateway_process(settings.gateway,
                                  platform::make_deployment(settings, *metrics_port))
             .run();
+        end_logging();
     });
 }
 
--- a/Source/commands/rank_agent_command.cxx
+++ b/Source/commands/rank_agent_command.cxx
@@ -4,6 +4,7 @@
 
 #include "base/error.h"
 #include "base/event_log.h"
+#include "commands/end_logging.h"
 #include "experts/rank_agent.h"
 #include "platform/lockstep_http_engine.h"
 #include "platform/node_settings.h"
@@ -31,6 +32,7 @@
     context.on_termination_signal([&context] { context.stop(); });
     context.start();
     context.wait();
+    end_logging();
 }
 
 } // namespace
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -300,7 +300,8 @@
         this->may_have_run_ = true;
         ++this->runs_;
     }
-    if (!this->may_repeat(how)) {
+    // Without another upstream there is nothing to wait for.
+    if (!this->service_->has_other(this->tried_) || !this->may_repeat(how)) {
         this->give_up();
         return;
     }
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -13,6 +13,10 @@
 // Kept connections of one gateway to one upstream; more than its slots are never in use at once.
 constexpr std::size_t max_idle_connections = 24;
 
+// Requests use connections several times a second under load. One that rests longer may have been
+// forgotten on the way or by the upstream, and a new one costs 1 ms.
+constexpr auto max_idle_time = std::chrono::seconds(2);
+
 } // namespace
 
 service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
@@ -33,9 +37,10 @@
         const bool same = known != this->upstreams_.end() &&
                           known->second.entry.address == entry.address &&
                           known->second.entry.started_at == entry.started_at;
-        next[key] = {entry, same ? known->second.client
-                                 : std::make_shared<transport::http_client>(
-                                       this->context_, entry.address, max_idle_connections)};
+        next[key] = {
+            entry, same ? known->second.client
+                        : std::make_shared<transport::http_client>(
+                              this->context_, entry.address, max_idle_connections, max_idle_time)};
     }
     this->upstreams_ = std::move(next);
     this->scheduler_.set_upstreams(upstreams, own_data_centre);
@@ -63,6 +68,11 @@
                                                 details.deadline, details.route->is_stream));
 }
 
+bool service_dispatcher::has_other(const std::vector<std::uint64_t>& excluded) const
+{
+    return this->scheduler_.has_other(excluded);
+}
+
 void service_dispatcher::resubmit(const std::shared_ptr<proxied_request>& request,
                                   const std::vector<std::uint64_t>& excluded, time_point wait_until)
 {
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -49,6 +49,10 @@
     /// Counts a new request and queues its first attempt.
     void submit(const std::shared_ptr<proxied_request>& request);
 
+    /// @param excluded upstreams that were tried
+    /// @return whether another one is in the list and not draining
+    [[nodiscard]] bool has_other(const std::vector<std::uint64_t>& excluded) const;
+
     /// Queues another attempt.
     /// @param request the request
     /// @param excluded upstreams that it is not sent to again
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -16,9 +16,10 @@
 
 struct follower_options {
     std::string topic;
-    /// One read waits so long for a record. Longer waits cost fewer calls; a connection that went
-    /// silent is noticed only after this time.
-    duration wait = std::chrono::seconds(5);
+    /// One read waits so long for a record. Longer waits cost fewer calls; a store that went silent
+    /// for a moment is noticed only after this time and that of an answer, and a new configuration
+    /// must be in force within 2 s of the end of trouble and the 3 s in which that is forgiven.
+    duration wait = std::chrono::seconds(3);
     duration first_retry = std::chrono::milliseconds(200);
     /// After an outage, changes are read within this time of the store's return.
     duration longest_retry = std::chrono::milliseconds(800);
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -219,6 +219,14 @@
     return found != this->upstreams_.end() && found->second.listed && !found->second.entry.draining;
 }
 
+bool upstream_scheduler::has_other(const std::vector<std::uint64_t>& excluded) const
+{
+    return std::ranges::any_of(this->upstreams_, [&excluded](const auto& it) {
+        return it.second.listed && !it.second.entry.draining &&
+               std::ranges::find(excluded, it.first) == excluded.end();
+    });
+}
+
 std::unordered_map<std::uint64_t, unsigned> upstream_scheduler::own_load() const
 {
     std::unordered_map<std::uint64_t, unsigned> load;
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -118,6 +118,10 @@
     /// @return whether an upstream is in the list and gets new requests
     [[nodiscard]] bool is_usable(std::uint64_t upstream) const;
 
+    /// @param excluded upstreams that are not asked for
+    /// @return whether another one is in the list and not draining, however full it is
+    [[nodiscard]] bool has_other(const std::vector<std::uint64_t>& excluded) const;
+
     /// @return requests of this gateway by upstream, without those that have none
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> own_load() const;
 
--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -77,6 +77,10 @@
 /// the close. `Keep-Alive` states whole seconds; a round trip and a late timer fit in this margin.
 constexpr auto keep_alive_margin = std::chrono::milliseconds(500);
 
+// A request that is cancelled after this time without a byte of a reply may have gone into a silent
+// connection; a new connection costs less than another request that is lost so.
+constexpr auto silence_suspected = std::chrono::milliseconds(500);
+
 /// @return how long the server keeps an idle connection, empty if it does not say
 std::optional<duration> keep_alive_limit(const http_head& head)
 {
@@ -211,13 +215,7 @@
     void run(std::string bytes, bool head_only, const http_timeouts& timeouts,
              std::shared_ptr<client_exchange> exchange);
 
-    void cancel(const client_exchange* exchange)
-    {
-        if (this->exchange_.get() == exchange) {
-            this->close();
-        }
-    }
-
+    void cancel(const client_exchange* exchange);
     void close();
 
     // Guarded by the mutex of the pool while the connection is idle.
@@ -239,6 +237,7 @@
     void fail(error_kind kind, const std::string& what);
     void timed_out();
     void set_limit(duration limit, std::string_view waiting_for);
+    void retire_idle();
     [[nodiscard]] bool stale();
 
     std::shared_ptr<client_pool> pool_;
@@ -258,6 +257,7 @@
     bool reading_ = false;
     bool foreign_ = false;     ///< the reply being read answers another request
     bool out_of_step_ = false; ///< such a reply was read; the connection is not used again
+    time_point run_at_{};      ///< when the request was given to this connection
     std::optional<duration> idle_limit_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
@@ -292,6 +292,27 @@
     if (this->phase_ != phase::connecting && this->phase_ != phase::exchanging) {
         return;
     }
+    this->retire_idle();
+    this->fail(
+        error_kind::deadline_exceeded,
+        fmt::format("{} took longer than {} ms", this->waiting_for_,
+                    std::chrono::duration_cast<std::chrono::milliseconds>(this->limit_).count()));
+}
+
+void client_connection::cancel(const client_exchange* exchange)
+{
+    if (this->exchange_.get() != exchange) {
+        return;
+    }
+    const bool no_reply = this->phase_ == phase::exchanging && !this->reading_;
+    if (no_reply && std::chrono::steady_clock::now() - this->run_at_ >= silence_suspected) {
+        this->retire_idle();
+    }
+    this->close();
+}
+
+void client_connection::retire_idle()
+{
     // Connections that went silent often did so together: the idle ones are not used again.
     std::vector<std::shared_ptr<client_connection>> retired;
     {
@@ -301,10 +322,6 @@
     for (const auto& connection : retired) {
         asio::post(connection->executor(), [connection] { connection->close(); });
     }
-    this->fail(
-        error_kind::deadline_exceeded,
-        fmt::format("{} took longer than {} ms", this->waiting_for_,
-                    std::chrono::duration_cast<std::chrono::milliseconds>(this->limit_).count()));
 }
 
 void client_connection::close()
@@ -356,6 +373,7 @@
     this->timeouts_ = timeouts;
     this->exchange_ = std::move(exchange);
     this->any_sent_ = false;
+    this->run_at_ = std::chrono::steady_clock::now();
     if (this->phase_ == phase::idle && !this->stale()) {
         this->phase_ = phase::exchanging;
         this->write();
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -191,6 +191,7 @@
     void send_start(const http_head& head);
     void send_part(const std::string& data);
     void send_end();
+    void break_off();
 
     std::atomic<std::size_t> queued_bytes = 0;
 
@@ -228,6 +229,7 @@
     bool watching_ = false;
     bool too_slow_ = false; ///< the current request did not arrive in time
     bool reply_ended_ = false;
+    bool breaks_off_ = false; ///< closes after what is queued, without the end of the reply
     std::string outgoing_;
     std::string in_write_;
     bool writing_ = false;
@@ -319,7 +321,7 @@
             return;
         }
         this->end_locked();
-        this->post([](server_connection& target) { target.close(); });
+        this->post([](server_connection& target) { target.break_off(); });
     }
 
     void on_closed(std::function<void()> fn) override
@@ -648,6 +650,12 @@
     this->queue(this->framing_.old_version || this->framing_.head_only ? "" : "0\r\n\r\n");
 }
 
+void server_connection::break_off()
+{
+    this->breaks_off_ = true;
+    this->write_queued();
+}
+
 void server_connection::queue(std::string bytes)
 {
     this->queued_bytes += bytes.size();
@@ -666,7 +674,10 @@
         return;
     }
     if (this->outgoing_.empty()) {
-        if (this->reply_ended_ && this->phase_ == phase::handling) {
+        if (this->breaks_off_) {
+            this->close();
+        }
+        else if (this->reply_ended_ && this->phase_ == phase::handling) {
             this->reply_written();
         }
         return;
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -38,7 +38,8 @@
     /// Ends a started reply.
     virtual void finish() = 0;
 
-    /// Closes the connection so that the client sees a broken reply rather than a short one.
+    /// Closes the connection after the parts that are queued, so that the client gets what is ready
+    /// and sees a broken reply rather than a short one.
     virtual void abort() = 0;
 
     /// @param fn called once if the client goes away before the end of the reply
--- a/Tests/experts/test_group_balancer.cxx
+++ b/Tests/experts/test_group_balancer.cxx
@@ -166,6 +166,8 @@
     }
     balanced_group(const balanced_group&) = delete;
     balanced_group& operator=(const balanced_group&) = delete;
+    balanced_group(balanced_group&&) = delete;
+    balanced_group& operator=(balanced_group&&) = delete;
     ~balanced_group()
     {
         this->context.stop();
--- a/Tests/fakes/tcp_proxy.cxx
+++ b/Tests/fakes/tcp_proxy.cxx
@@ -8,6 +8,17 @@
 
 namespace medlaryoke::fakes {
 
+namespace {
+
+/// Makes the close of a connection a reset.
+void reset(int descriptor)
+{
+    const linger at_once{1, 0};
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+} // namespace
+
 tcp_proxy::tcp_proxy(std::string server)
     : server_(std::move(server)), thread_([this] { this->run(); })
 {
@@ -46,7 +57,12 @@
                 this->pass(entry, entry.server, entry.caller);
             }
         }
-        std::erase_if(this->relays_, [](const relay& entry) {
+        std::erase_if(this->relays_, [this](relay& entry) {
+            if (entry.number <= this->reset_up_to_) {
+                reset(entry.caller);
+                reset(entry.server);
+                entry.ended = true;
+            }
             if (entry.ended) {
                 close(entry.caller);
                 close(entry.server);
@@ -70,6 +86,10 @@
         entry.ended = true;
         return;
     }
+    if (this->drops_answers_ && from == entry.server) {
+        return;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(this->delay_ms_));
     try {
         send_all(to, {block.data(), static_cast<std::size_t>(size)});
     }
--- a/Tests/gateway/test_gateway.cxx
+++ b/Tests/gateway/test_gateway.cxx
@@ -109,6 +109,23 @@
     cr_assert(has_status(answer, 503) && contains(answer, "Retry-After: "), "%s", answer.c_str());
 }
 
+// Guards against a caller that waits in vain: a failed request waited for an upstream other than
+// the only one until its time was up.
+Test(gateway, answers_a_failure_at_once_if_no_other_upstream_is_left)
+{
+    gateway_site site(1);
+    site.configure();
+    const auto started = std::chrono::steady_clock::now();
+    const auto caller = site.call("/safe/", key);
+    const auto upstream = site.upstreams[0]->accept();
+    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    upstream.send(
+        "HTTP/1.1 500 Failed\r\nX-Id: r-1\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\n{}");
+    cr_assert(has_status(read_answer(caller), 500));
+    // The route allows 2 s.
+    cr_assert(std::chrono::steady_clock::now() - started < std::chrono::milliseconds(700));
+}
+
 // Guards against an answer that breaks off and reaches the caller as if it were whole.
 Test(gateway, repeats_a_safe_request_whose_answer_breaks_off)
 {
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -4,6 +4,7 @@
 #include <future>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -151,6 +152,35 @@
     cr_assert(proxy.opened() == opened + 1);
 }
 
+// Guards against requests that hang one after the other in connections that went silent together:
+// the first one is cancelled at its own deadline and not by a timeout of the client.
+Test(http_client, retires_silent_connections_after_a_cancel)
+{
+    http_pair pair([](const http_request&, const std::shared_ptr<response_stream>& stream) {
+        stream->respond(make_json_response(200, "ok"));
+    });
+    tcp_proxy proxy(pair.server.address());
+    http_client client(pair.context, proxy.address());
+    std::vector<std::promise<fetch_result>> results(4);
+    for (auto& result : results) {
+        client.fetch(get_request, {},
+                     [&result](fetch_result value) { result.set_value(std::move(value)); });
+    }
+    for (auto& result : results) {
+        cr_assert(is_ok(result.get_future().get()));
+    }
+    proxy.silence_open_connections();
+    const auto hanging = client.send(get_request, {}, {});
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    hanging->cancel();
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    const auto opened = proxy.opened();
+    http_timeouts timeouts;
+    timeouts.first_byte = std::chrono::seconds(2);
+    cr_assert(is_ok(fetch(client, get_request, timeouts)));
+    cr_assert(proxy.opened() == opened + 1);
+}
+
 // Guards against events after a cancel.
 Test(http_client, cancel_ends_the_events)
 {
