soak: Do not ask a frozen gateway before a reload

A gateway frozen before it was terminated was also given no time for the freeze. Both are mended in the soak; the bound for the end of a process stays.

--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -29,6 +29,7 @@
 constexpr auto longest_recovery = 12s;
 
 constexpr auto calm_time = 1s;
+constexpr auto freeze_time = 1s;
 constexpr auto step = 10ms;
 
 nlohmann::json route(const std::string& name, const std::string& kind, unsigned attempts)
@@ -48,7 +49,8 @@
 } // namespace
 
 soak_run::soak_run(unsigned seed, const std::string& directory)
-    : random_(seed), store_(context_), terminated_(gateway_count), started_(timer::now())
+    : random_(seed), store_(context_), terminated_(gateway_count), thawed_(gateway_count),
+      started_(timer::now())
 {
     this->context_.start();
     for (unsigned n = 0; n < upstream_count; ++n) {
@@ -167,23 +169,26 @@
     case 2:
         this->note(fmt::format("terminate gateway {}", index));
         if (gateway.runs() && this->terminated_[index] == timer::time_point{}) {
-            this->terminated_[index] = timer::now();
+            this->terminated_[index] = std::max(timer::now(), this->thawed_[index]);
         }
         gateway.signal(SIGTERM);
         break;
     case 3:
         this->note(fmt::format("freeze gateway {}", index));
         gateway.signal(SIGSTOP);
+        this->thawed_[index] = timer::now() + freeze_time;
         // A frozen process ends later by as much.
         if (this->terminated_[index] != timer::time_point{}) {
-            this->terminated_[index] += 1s;
+            this->terminated_[index] += freeze_time;
         }
-        this->repair_after(1s, [&gateway] { gateway.signal(SIGCONT); });
+        this->repair_after(freeze_time, [&gateway] { gateway.signal(SIGCONT); });
         break;
     default:
         this->note(fmt::format("reload gateway {}", index));
-        // Before main() the signal ends any process; test_gateway_process covers the start.
-        if (get_status(gateway.readiness_address(), "/ready") != 0) {
+        // Before main() the signal ends any process; test_gateway_process covers the start. A
+        // frozen one is not asked: the schedule would wait for it, and it for the schedule.
+        if (timer::now() < this->thawed_[index] ||
+            get_status(gateway.readiness_address(), "/ready") != 0) {
             gateway.signal(SIGHUP);
         }
         break;
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -61,6 +61,7 @@
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
     std::vector<std::unique_ptr<gateway_child>> gateways_;
     std::vector<timer::time_point> terminated_; ///< by gateway: when SIGTERM was sent, if it was
+    std::vector<timer::time_point> thawed_;     ///< by gateway: when its last freeze ends
     std::set<unsigned> killed_;                 ///< gateways that were told to end by force
     std::vector<repair> repairs_;
     std::vector<std::string> faults_;
