source: Merge doubled pieces and take repeated work off hot paths

`Retry-After` is made in one place, and replies without an upstream's answer end in one function of `proxied_request`. - `peer_table::alive` returns the beats without copying them: gateways ask for them 50 times a second, and each beat carries a map of all upstreams. - The scheduler takes the median latency once for all waiting requests instead of once for each, and has one name for an upstream that takes new requests. - `map_search` counts the copies of the set that it changed, not of all sets at each step. The map with which a group begins exists once, also for the tests.

Ruled out: leaving out `maxConnections` and the mean answer, which are read and not used. Their types are checked today, and that check would go.

--- a/Source/base/event_log.cxx
+++ b/Source/base/event_log.cxx
@@ -47,6 +47,12 @@
     return instance;
 }
 
+bool is_written(log_level level)
+{
+    const auto& sink = state().sink;
+    return sink && sink->should_log(to_spdlog(level));
+}
+
 /// @return whether this second's share of lines allows another one
 bool take_token()
 {
@@ -99,8 +105,7 @@
 void event_log::note(log_level level, std::string_view event,
                      std::initializer_list<log_field> fields) const
 {
-    auto& current = state();
-    if (current.sink && current.sink->should_log(to_spdlog(level))) {
+    if (is_written(level)) {
         write_line(level, this->part_, event, fields);
     }
 }
@@ -108,8 +113,7 @@
 void event_log::sample(log_level level, std::string_view event,
                        std::initializer_list<log_field> fields) const
 {
-    auto& current = state();
-    if (current.sink && current.sink->should_log(to_spdlog(level)) && take_token()) {
+    if (is_written(level) && take_token()) {
         write_line(level, this->part_, event, fields);
     }
 }
--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -22,18 +22,6 @@
 // proposal takes two versions: one for the map, one to replace it if the switch is given up.
 constexpr unsigned proposal_bits = 20;
 
-/// The map with which a group begins: experts in turn.
-policy::expert_map first_map(const policy::group_shape& shape)
-{
-    policy::expert_map map;
-    policy::set_placement placement(shape.ranks);
-    for (unsigned expert = 0; expert < shape.experts; ++expert) {
-        placement[expert % shape.ranks].push_back(expert);
-    }
-    map.sets.assign(shape.sets, placement);
-    return map;
-}
-
 } // namespace
 
 group_balancer::group_balancer(transport::runtime& context, const clock_source& clock,
@@ -211,7 +199,7 @@
     }
     this->current_.reset();
     if (state.map == 0) {
-        this->current_ = first_map(this->shape_);
+        this->current_ = policy::first_map(this->shape_);
         this->current_epoch_ = state.epoch;
         return;
     }
@@ -249,10 +237,7 @@
         options.copies_per_rank = static_cast<unsigned>(std::clamp<duration::rep>(
             affordable, 1, static_cast<duration::rep>(options.copies_per_rank)));
     }
-    std::vector<double> pace;
-    std::ranges::transform(this->ranks_, std::back_inserter(pace),
-                           [](const rank_state& it) { return it.report->pace; });
-    this->search_.emplace(this->shape_, *this->current_, this->loads_, pace, options);
+    this->search_.emplace(this->shape_, *this->current_, this->loads_, this->paces(), options);
     this->search_on();
 }
 
@@ -283,12 +268,12 @@
     return 1 - this->options_.expert_part + this->options_.expert_part * skew;
 }
 
-double group_balancer::slowest_pace() const
+std::vector<double> group_balancer::paces() const
 {
-    return std::transform_reduce(
-        this->ranks_.begin(), this->ranks_.end(), 1.0,
-        [](double a, double b) { return std::max(a, b); },
-        [](const rank_state& it) { return it.report ? it.report->pace : 1.0; });
+    std::vector<double> paces;
+    std::ranges::transform(this->ranks_, std::back_inserter(paces),
+                           [](const rank_state& it) { return it.report ? it.report->pace : 1.0; });
+    return paces;
 }
 
 void group_balancer::finish_search()
@@ -304,7 +289,7 @@
                       {{"group", this->name_},
                        {"work_before", before},
                        {"work_after", after},
-                       {"slowest_pace", this->slowest_pace()},
+                       {"slowest_pace", std::ranges::max(this->paces())},
                        {"copies", static_cast<std::int64_t>(copies)}});
     if (worthwhile) {
         this->begin_rollout(std::move(target));
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -114,7 +114,7 @@
                           const std::optional<policy::rank_order>& order, const rank_reply& reply);
     void end_rollout();
     [[nodiscard]] double work(double skew) const;
-    [[nodiscard]] double slowest_pace() const;
+    [[nodiscard]] std::vector<double> paces() const;
 
     transport::runtime& context_;
     const clock_source& clock_;
--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -64,9 +64,7 @@
          {"reason", failure.what()}});
     auto reply = transport::make_error_response(failure);
     if (failure.kind() == error_kind::unavailable) {
-        reply.head.headers.push_back(
-            {"Retry-After",
-             fmt::format("{:.3f}", std::chrono::duration<double>(unready_retry).count())});
+        reply.head.headers.push_back(transport::make_retry_after(unready_retry));
     }
     response->respond(std::move(reply));
 }
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -294,8 +294,8 @@
     const auto now = this->clock_.now();
     const auto alive = this->peers_->table().alive(now);
     const bool is_first =
-        this->is_ready() && std::ranges::none_of(alive, [this](const policy::peer_beat& peer) {
-            return peer.serving && peer.instance < this->settings_.instance;
+        this->is_ready() && std::ranges::none_of(alive, [this](const policy::peer_beat* peer) {
+            return peer->serving && peer->instance < this->settings_.instance;
         });
     // A gateway that hears fewer than half of the others is more likely cut off than left over.
     const bool is_cut_off = 2 * (alive.size() + 1) <= this->peers_->table().known();
@@ -315,13 +315,13 @@
     const auto alive = this->peers_->table().alive(now);
     this->gateway_.set_peers(this->peers_->table().running(now), alive.size() + 1);
     const auto newest = std::ranges::max_element(alive, {}, &policy::peer_beat::config_version);
-    if (newest != alive.end() && newest->config_version > this->config_.version()) {
-        this->fetch_config(newest->control_address);
+    if (newest != alive.end() && (*newest)->config_version > this->config_.version()) {
+        this->fetch_config((*newest)->control_address);
     }
     const auto furthest =
         std::ranges::max_element(alive, {}, &policy::peer_beat::upstreams_position);
     if (furthest == alive.end() || !this->upstream_feed_ ||
-        furthest->upstreams_position <= this->upstream_feed_->position()) {
+        (*furthest)->upstreams_position <= this->upstream_feed_->position()) {
         this->peer_ahead_since_.reset();
     }
     else if (!this->peer_ahead_since_) {
@@ -329,7 +329,7 @@
     }
     else if (now - *this->peer_ahead_since_ > peer_ahead_limit) {
         this->peer_ahead_since_ = now;
-        this->upstream_feed_->catch_up(furthest->upstreams_position);
+        this->upstream_feed_->catch_up((*furthest)->upstreams_position);
     }
 }
 
@@ -374,9 +374,9 @@
     if (this->is_ready()) {
         entries.push_back({this->settings_.caller_address, this->settings_.data_centre});
     }
-    for (const auto& peer : this->peers_->table().alive(this->clock_.now())) {
-        if (peer.serving) {
-            entries.push_back({peer.caller_address, peer.data_centre});
+    for (const auto* peer : this->peers_->table().alive(this->clock_.now())) {
+        if (peer->serving) {
+            entries.push_back({peer->caller_address, peer->data_centre});
         }
     }
     return entries;
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -119,8 +119,8 @@
     ++this->own_.number;
     this->fill_self_(this->own_);
     std::vector<std::string> known;
-    for (const auto& peer : this->table_.alive(now)) {
-        known.push_back(peer.beat_address);
+    for (const auto* peer : this->table_.alive(now)) {
+        known.push_back(peer->beat_address);
     }
     const auto data = encode(this->own_, known);
     for (const auto& address : this->addresses_) {
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -52,10 +52,7 @@
 /// Removes the headers of an upstream's answer that concern its connection.
 transport::http_head forwarded(transport::http_head head)
 {
-    const std::string named(transport::find_header(head.headers, "Connection"));
-    std::erase_if(head.headers, [&named](const transport::http_header& field) {
-        return transport::concerns_connection(field.name, named);
-    });
+    transport::remove_connection_headers(head.headers);
     return head;
 }
 
@@ -411,12 +408,8 @@
     const auto wait = this->service_->waiting_rules().retry_after(left);
     auto response = transport::make_error_response(
         error(error_kind::not_run, std::string(reason), "Repeat the request as Retry-After says."));
-    response.head.status = unavailable_status;
-    response.head.headers.push_back(
-        {"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())});
-    response.head.headers.push_back({this->service_->protocol().request_id, this->details_.id});
-    this->response_->respond(std::move(response));
-    this->finish("refused", unavailable_status, reason);
+    response.head.headers.push_back(transport::make_retry_after(wait));
+    this->respond_without_answer(std::move(response), unavailable_status, "refused", reason);
 }
 
 void proxied_request::fail(unsigned status, std::string_view reason)
@@ -425,10 +418,16 @@
         error(error_kind::outcome_unknown, std::string(reason),
               "Check whether the request took effect before repeating it."),
         "unknown");
+    this->respond_without_answer(std::move(response), status, "failed", reason);
+}
+
+void proxied_request::respond_without_answer(transport::http_response response, unsigned status,
+                                             std::string_view outcome, std::string_view reason)
+{
     response.head.status = status;
     response.head.headers.push_back({this->service_->protocol().request_id, this->details_.id});
     this->response_->respond(std::move(response));
-    this->finish("failed", status, reason);
+    this->finish(outcome, status, reason);
 }
 
 void proxied_request::abort(std::string_view reason)
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -83,6 +83,8 @@
     void answer(const transport::http_head& head, std::string body, std::string_view outcome);
     void refuse(std::string_view reason);
     void fail(unsigned status, std::string_view reason);
+    void respond_without_answer(transport::http_response response, unsigned status,
+                                std::string_view outcome, std::string_view reason);
     void abort(std::string_view reason);
     void on_caller_gone();
     void finish(std::string_view outcome, unsigned status, std::string_view reason);
--- a/Source/gateway/request_filters.cxx
+++ b/Source/gateway/request_filters.cxx
@@ -114,15 +114,14 @@
 void request_filters::clean_headers(routed_request& request) const
 {
     auto& headers = request.message.headers;
-    const std::string named(transport::find_header(headers, "Connection"));
+    transport::remove_connection_headers(headers);
     const std::array<std::string_view, 5> own{"Authorization", this->protocol_.organisation,
                                               this->protocol_.expected_upstream,
                                               this->protocol_.priority, this->protocol_.deadline};
     std::erase_if(headers, [&](const transport::http_header& field) {
-        return transport::concerns_connection(field.name, named) ||
-               std::ranges::any_of(own, [&field](std::string_view name) {
-                   return transport::same_name(field.name, name);
-               });
+        return std::ranges::any_of(own, [&field](std::string_view name) {
+            return transport::same_name(field.name, name);
+        });
     });
 }
 
--- a/Source/policy/expert_map.h
+++ b/Source/policy/expert_map.h
@@ -31,4 +31,7 @@
     bool operator==(const group_shape&) const = default;
 };
 
+/// @return the map with which a group begins: version 0, experts in turn
+expert_map first_map(const group_shape& shape);
+
 } // namespace medlaryoke::policy
--- a/Source/policy/map_search.cxx
+++ b/Source/policy/map_search.cxx
@@ -27,28 +27,28 @@
         if (set == this->sets_.end() || set->exhausted) {
             return false;
         }
-        if (set->search.improve_once(this->options_.min_gain, this->room_for(*set))) {
-            break;
+        if (this->improve(set->search)) {
+            return true;
         }
         set->exhausted = true;
     }
-    for (unsigned rank = 0; rank < this->shape_.ranks; ++rank) {
-        this->copies_[rank] =
-            std::transform_reduce(this->sets_.begin(), this->sets_.end(), 0U, std::plus<>{},
-                                  [rank](const auto& it) { return it.search.copies_of(rank); });
-    }
-    return true;
 }
 
-std::vector<unsigned> map_search::room_for(const set_state& set) const
+bool map_search::improve(placement_search& search)
 {
+    auto others = this->copies_; // of the other sets
     std::vector<unsigned> room;
     for (unsigned rank = 0; rank < this->shape_.ranks; ++rank) {
-        const auto own = set.search.copies_of(rank);
-        const auto others = this->copies_[rank] - own;
-        room.push_back(std::max(this->options_.copies_per_rank, others) - others);
+        others[rank] -= search.copies_of(rank);
+        room.push_back(std::max(this->options_.copies_per_rank, others[rank]) - others[rank]);
+    }
+    if (!search.improve_once(this->options_.min_gain, room)) {
+        return false;
     }
-    return room;
+    for (unsigned rank = 0; rank < this->shape_.ranks; ++rank) {
+        this->copies_[rank] = others[rank] + search.copies_of(rank);
+    }
+    return true;
 }
 
 expert_map map_search::map() const
--- a/Source/policy/map_search.h
+++ b/Source/policy/map_search.h
@@ -54,7 +54,7 @@
         bool exhausted = false;
     };
 
-    [[nodiscard]] std::vector<unsigned> room_for(const set_state& set) const;
+    bool improve(placement_search& search);
 
     group_shape shape_;
     map_search_options options_;
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -33,12 +33,12 @@
     });
 }
 
-std::vector<peer_beat> peer_table::alive(time_point now) const
+std::vector<const peer_beat*> peer_table::alive(time_point now) const
 {
-    std::vector<peer_beat> list;
+    std::vector<const peer_beat*> list;
     for (const auto& [name, it] : this->peers_) {
         if (!this->is_silent(it, now)) {
-            list.push_back(it.beat);
+            list.push_back(&it.beat);
         }
     }
     return list;
@@ -47,11 +47,9 @@
 std::unordered_map<std::uint64_t, unsigned> peer_table::running(time_point now) const
 {
     std::unordered_map<std::uint64_t, unsigned> sum;
-    for (const auto& [name, it] : this->peers_) {
-        if (!this->is_silent(it, now)) {
-            for (const auto& [upstream, count] : it.beat.running) {
-                sum[upstream] += count;
-            }
+    for (const auto* beat : this->alive(now)) {
+        for (const auto& [upstream, count] : beat->running) {
+            sum[upstream] += count;
         }
     }
     return sum;
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -47,8 +47,8 @@
     /// To be called regularly, so that an own standstill is noticed.
     void on_tick(time_point now);
 
-    /// @return peers that are not silent, in order of their names
-    [[nodiscard]] std::vector<peer_beat> alive(time_point now) const;
+    /// @return peers that are not silent, in order of their names; until the table changes
+    [[nodiscard]] std::vector<const peer_beat*> alive(time_point now) const;
 
     /// @return requests that the peers alive run, by upstream
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running(time_point now) const;
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -82,13 +82,17 @@
 std::vector<assignment> upstream_scheduler::take_ready(time_point now)
 {
     std::vector<assignment> ready;
-    while (const auto owed = this->take_owed(now)) {
+    if (this->waiting_.empty()) {
+        return ready;
+    }
+    const auto median = this->median_latency(now);
+    while (const auto owed = this->take_owed(median, now)) {
         ready.push_back(*owed);
     }
     for (auto it = this->waiting_.begin(); it != this->waiting_.end();) {
         auto chosen = this->choose_probe(*it, now);
         if (!chosen && this->has_room(it->priority)) {
-            chosen = this->choose(*it, now);
+            chosen = this->choose(*it, median, now);
         }
         if (chosen) {
             this->note_sent(*it, *chosen);
@@ -105,7 +109,7 @@
     return ready;
 }
 
-std::optional<assignment> upstream_scheduler::take_owed(time_point now)
+std::optional<assignment> upstream_scheduler::take_owed(double median, time_point now)
 {
     constexpr unsigned most_urgent = 0;
     if (!this->has_room(most_urgent)) {
@@ -115,7 +119,7 @@
         if (it->priority == most_urgent || this->owed_[it->priority] < 1) {
             continue;
         }
-        if (const auto chosen = this->choose(*it, now)) {
+        if (const auto chosen = this->choose(*it, median, now)) {
             this->owed_[it->priority] -= 1;
             const assignment sent{it->id, *chosen};
             this->note_sent(*it, *chosen);
@@ -216,14 +220,13 @@
 bool upstream_scheduler::is_usable(std::uint64_t upstream) const
 {
     const auto found = this->upstreams_.find(upstream);
-    return found != this->upstreams_.end() && found->second.listed && !found->second.entry.draining;
+    return found != this->upstreams_.end() && found->second.takes_new();
 }
 
 bool upstream_scheduler::has_other(const std::vector<std::uint64_t>& excluded) const
 {
     return std::ranges::any_of(this->upstreams_, [&excluded](const auto& it) {
-        return it.second.listed && !it.second.entry.draining &&
-               std::ranges::find(excluded, it.first) == excluded.end();
+        return it.second.takes_new() && std::ranges::find(excluded, it.first) == excluded.end();
     });
 }
 
@@ -267,7 +270,7 @@
     double room = 0;
     double running = 0;
     for (const auto& [id, it] : this->upstreams_) {
-        if (it.listed && !it.entry.draining) {
+        if (it.takes_new()) {
             room += std::min(this->run_limit_, static_cast<double>(it.entry.slots));
             running += it.own + it.remote;
         }
@@ -286,9 +289,8 @@
                                   const scheduled_request& request, time_point now) const
 {
     const auto limit = std::min(static_cast<double>(it.entry.slots), std::ceil(this->run_limit_));
-    return it.listed && !it.entry.draining && it.paused_until <= now &&
-           it.own + it.remote < limit && it.starting + request.tokens <= this->read_limit_ &&
-           !this->outliers_.is_ejected(id) &&
+    return it.takes_new() && it.paused_until <= now && it.own + it.remote < limit &&
+           it.starting + request.tokens <= this->read_limit_ && !this->outliers_.is_ejected(id) &&
            std::ranges::find(request.excluded, id) == request.excluded.end();
 }
 
@@ -320,9 +322,8 @@
 }
 
 std::optional<std::uint64_t> upstream_scheduler::choose(const scheduled_request& request,
-                                                        time_point now)
+                                                        double median, time_point now)
 {
-    const auto median = this->median_latency(now);
     std::vector<std::uint64_t> best;
     double best_score = 0;
     for (const auto& [id, it] : this->upstreams_) {
@@ -352,7 +353,7 @@
         return std::nullopt;
     }
     for (const auto& [id, it] : this->upstreams_) {
-        if (it.listed && !it.entry.draining && this->outliers_.is_ejected(id) &&
+        if (it.takes_new() && this->outliers_.is_ejected(id) &&
             std::ranges::find(request.excluded, id) == request.excluded.end() &&
             this->outliers_.try_probe(id, now)) {
             return id;
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -144,6 +144,8 @@
         time_point paused_until{};
         double latency_ms = 0; ///< smoothed; 0: unknown
         time_point latency_at{};
+
+        [[nodiscard]] bool takes_new() const { return this->listed && !this->entry.draining; }
     };
     using state_map = std::map<std::uint64_t, upstream_state>;
 
@@ -153,9 +155,10 @@
                                 const scheduled_request& request, time_point now) const;
     [[nodiscard]] double median_latency(time_point now) const;
     [[nodiscard]] double score(const upstream_state& it, double median, time_point now) const;
-    [[nodiscard]] std::optional<assignment> take_owed(time_point now);
+    [[nodiscard]] std::optional<assignment> take_owed(double median, time_point now);
     void note_sent(const scheduled_request& request, std::uint64_t upstream);
-    std::optional<std::uint64_t> choose(const scheduled_request& request, time_point now);
+    std::optional<std::uint64_t> choose(const scheduled_request& request, double median,
+                                        time_point now);
     std::optional<std::uint64_t> choose_probe(const scheduled_request& request, time_point now);
 
     scheduler_options options_;
--- a/Source/transport/error_response.cxx
+++ b/Source/transport/error_response.cxx
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 #include "base/json_text.h"
@@ -21,6 +22,11 @@
     return response;
 }
 
+http_header make_retry_after(duration wait)
+{
+    return {"Retry-After", fmt::format("{:.3f}", std::chrono::duration<double>(wait).count())};
+}
+
 http_response make_json_response(unsigned status, std::string body)
 {
     return {{status, {{"Content-Type", "application/json"}}}, std::move(body)};
--- a/Source/transport/error_response.h
+++ b/Source/transport/error_response.h
@@ -2,6 +2,7 @@
 
 #include <string_view>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "transport/http_message.h"
 
@@ -14,6 +15,10 @@
 /// @return the whole reply
 http_response make_error_response(const error& failure, std::string_view outcome = "not-run");
 
+/// @param wait time after which the caller should come back
+/// @return the header `Retry-After`, in seconds with three decimals
+http_header make_retry_after(duration wait);
+
 /// Makes a reply with a JSON body.
 /// @param status the HTTP status
 /// @param body the serialized JSON
--- a/Source/transport/header_names.cxx
+++ b/Source/transport/header_names.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string>
 
 namespace medlaryoke::transport {
 
@@ -28,13 +29,7 @@
     return false;
 }
 
-} // namespace
-
-bool same_name(std::string_view a, std::string_view b)
-{
-    return std::ranges::equal(a, b, {}, lower, lower);
-}
-
+/// @param connection value of the Connection header of the same message, which may name more
 bool concerns_connection(std::string_view name, std::string_view connection)
 {
     constexpr std::array<std::string_view, 11> hop_by_hop{"Connection",
@@ -53,4 +48,19 @@
            lists(connection, name);
 }
 
+} // namespace
+
+bool same_name(std::string_view a, std::string_view b)
+{
+    return std::ranges::equal(a, b, {}, lower, lower);
+}
+
+void remove_connection_headers(std::vector<http_header>& headers)
+{
+    const std::string named(find_header(headers, "Connection")); // outlives the header itself
+    std::erase_if(headers, [&named](const http_header& field) {
+        return concerns_connection(field.name, named);
+    });
+}
+
 } // namespace medlaryoke::transport
--- a/Source/transport/header_names.h
+++ b/Source/transport/header_names.h
@@ -1,15 +1,18 @@
 #pragma once
 
 #include <string_view>
+#include <vector>
+
+#include "transport/http_message.h"
 
 namespace medlaryoke::transport {
 
 /// @return whether two header names are the same; case does not matter
 bool same_name(std::string_view a, std::string_view b);
 
-/// Tells whether a header concerns only the connection it came on and is not forwarded.
-/// @param name the header's name
-/// @param connection value of the Connection header of the same message, which may name more
-bool concerns_connection(std::string_view name, std::string_view connection);
+/// Removes the headers that concern only the connection a message came on and are not forwarded,
+/// those that its Connection header names included.
+/// @param headers all headers of the message
+void remove_connection_headers(std::vector<http_header>& headers);
 
 } // namespace medlaryoke::transport
--- a/Tests/policy/test_map_search.cxx
+++ b/Tests/policy/test_map_search.cxx
@@ -16,16 +16,6 @@
 
 using set_loads = std::vector<std::vector<double>>;
 
-/// Experts placed in turn, as a group begins.
-expert_map map_in_turn(const group_shape& shape)
-{
-    set_placement placement(shape.ranks);
-    for (unsigned expert = 0; expert < shape.experts; ++expert) {
-        placement[expert % shape.ranks].push_back(expert);
-    }
-    return {1, std::vector<set_placement>(shape.sets, placement)};
-}
-
 /// Popularity that falls with the rank of an expert, in another order in each set.
 set_loads shifted_popularity(const group_shape& shape, std::mt19937& random)
 {
@@ -61,7 +51,7 @@
 {
     constexpr double until = 1.2;    // seconds; popularity shifts again about then
     constexpr double noticed = 0.25; // counts, search and orders of a switch
-    auto map = map_in_turn(shape);
+    auto map = first_map(shape);
     double now = 0;
     double work = 0;
     while (now < until) {
@@ -92,7 +82,7 @@
     std::mt19937 random(5);
     for (const auto& shape : {small_group, large_group}) {
         for (const unsigned limit : {1U, 3U, 7U}) {
-            const auto before = map_in_turn(shape);
+            const auto before = first_map(shape);
             map_search search(shape, before, shifted_popularity(shape, random), {}, {limit, 0.03});
             while (search.improve_once()) {
             }
@@ -114,7 +104,7 @@
         std::ranges::fill(loads[set], 1.0);
         loads[set].front() = 2.0;
     }
-    const auto before = map_in_turn(large_group);
+    const auto before = first_map(large_group);
     map_search search(large_group, before, loads, {}, {1, 0.03});
     cr_assert(search.improve_once());
     const auto after = search.map();
@@ -147,8 +137,8 @@
 Test(map_search, the_largest_group_needs_few_steps)
 {
     std::mt19937 random(13);
-    map_search search(large_group, map_in_turn(large_group),
-                      shifted_popularity(large_group, random), {}, {7, 0.03});
+    map_search search(large_group, first_map(large_group), shifted_popularity(large_group, random),
+                      {}, {7, 0.03});
     unsigned steps = 0;
     while (search.improve_once()) {
         ++steps;
@@ -167,7 +157,7 @@
             std::max<unsigned>(1, static_cast<unsigned>(120ms / shape.copy_time));
         const auto loads = shifted_popularity(shape, random);
         const auto after_switches = [&](const std::vector<double>& pace) {
-            auto map = map_in_turn(shape);
+            auto map = first_map(shape);
             double skew = 0;
             for (int n = 0; n < 6; ++n) {
                 map_search search(shape, map, loads, pace, {affordable, 0.03});
--- a/Tests/policy/test_placement_search.cxx
+++ b/Tests/policy/test_placement_search.cxx
@@ -11,16 +11,6 @@
 
 namespace {
 
-/// Experts placed in turn, as a group begins.
-set_placement in_turn(const group_shape& shape)
-{
-    set_placement placement(shape.ranks);
-    for (unsigned expert = 0; expert < shape.experts; ++expert) {
-        placement[expert % shape.ranks].push_back(expert);
-    }
-    return placement;
-}
-
 std::vector<double> skewed_loads(unsigned experts, std::mt19937& random)
 {
     std::vector<double> loads;
@@ -59,7 +49,7 @@
         std::mt19937 random(3);
         for (int round = 0; round < 5; ++round) {
             const auto loads = skewed_loads(shape.experts, random);
-            auto placement = in_turn(shape);
+            auto placement = first_map(shape).sets.front();
             const auto first = placement_search(shape, placement, loads).skew();
             double last = first;
             for (int n = 0; n < 3; ++n) {
@@ -84,7 +74,7 @@
 {
     const group_shape shape{16, 1, 64, 5, 2};
     const std::vector<double> loads(64, 1.0);
-    placement_search search(shape, in_turn(shape), loads);
+    placement_search search(shape, first_map(shape).sets.front(), loads);
     cr_assert(!search.improve_once(0.005));
     cr_assert(search.copies() == 0);
 }
