tests: Start the product in one place, and share set-ups

The session tests and the soak each started the program, made temporary directories and read logs with their own code; `product_program` does it for both. The soak and the test of the gateway process write entries and configurations through `soak_store`. Tests of silent connections and of requests at an upstream share their set-up.

--- a/Tests/Session/product_process.h
+++ b/Tests/Session/product_process.h
@@ -34,6 +34,8 @@
     [[nodiscard]] std::string log() const;
 
 private:
+    [[nodiscard]] std::string log_file() const;
+
     std::string directory_;
     pid_t pid_ = -1;
     bool ended_ = false;
--- a/Tests/Soak/gateway_child.cxx
+++ b/Tests/Soak/gateway_child.cxx
@@ -1,20 +1,17 @@
 #include "Soak/gateway_child.h"
 
-#include <array>
 #include <csignal>
-#include <cstdlib>
 #include <fstream>
-#include <iterator>
-#include <stdexcept>
 #include <utility>
+#include <vector>
 
-#include <fcntl.h>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "fakes/product_program.h"
+
 namespace medlaryoke::soak {
 
 namespace {
@@ -27,8 +24,6 @@
 constexpr unsigned control_port = 20104;
 constexpr unsigned beat_port = 20105;
 
-constexpr int start_failed = 127;
-
 /// Each run uses addresses of its own, so that two runs on one machine do not meet.
 unsigned run_number()
 {
@@ -89,32 +84,15 @@
     if (this->runs()) {
         return;
     }
-    const auto settings = this->directory_ + "/" + this->name_ + ".json";
-    const auto* const other = std::getenv("MEDLARYOKE_TEST_BINARY");
-    std::array<std::string, 2> words{other == nullptr ? MEDLARYOKE_BINARY : other, "gateway"};
-    std::array<char*, 3> arguments{words[0].data(), words[1].data(), nullptr};
-    this->pid_ = ::fork();
-    if (this->pid_ == 0) {
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // no process may outlive a run that ends early
-        const int out = output >= 0 ? output
-                                    : ::open(this->log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND,
-                                             S_IRUSR | S_IWUSR);
-        ::dup2(out, STDOUT_FILENO);
-        ::dup2(out, STDERR_FILENO);
-        ::setenv("MEDLARYOKE_NODE_FILE", settings.c_str(), 1);
-        ::execv(arguments[0], arguments.data());
-        ::_exit(start_failed);
-    }
-    if (this->pid_ < 0) {
-        throw std::runtime_error("cannot start " + words[0]);
-    }
-    ++this->starts_;
+    const std::vector<std::string> environment{"MEDLARYOKE_NODE_FILE=" + this->directory_ + "/" +
+                                               this->name_ + ".json"};
+    this->pid_ = output >= 0 ? fakes::start_product({"gateway"}, output, environment)
+                             : fakes::start_product({"gateway"}, this->log_file_, environment);
 }
 
 std::string gateway_child::log() const
 {
-    std::ifstream in(this->log_file_);
-    return {std::istreambuf_iterator<char>(in), {}};
+    return fakes::read_file(this->log_file_);
 }
 
 void gateway_child::signal(int number) const
--- a/Tests/Soak/gateway_child.h
+++ b/Tests/Soak/gateway_child.h
@@ -37,9 +37,6 @@
 
     [[nodiscard]] bool runs() const { return this->pid_ > 0; }
 
-    /// @return incarnations so far
-    [[nodiscard]] unsigned starts() const { return this->starts_; }
-
     /// @return IPv4 address and port for callers
     [[nodiscard]] const std::string& caller_address() const { return this->caller_address_; }
 
@@ -53,7 +50,6 @@
     std::string caller_address_;
     std::string readiness_address_;
     pid_t pid_ = -1;
-    unsigned starts_ = 0;
 };
 
 /// @return a loopback address that gateway `index` uses for all its ports
--- a/Tests/Soak/soak_main.cxx
+++ b/Tests/Soak/soak_main.cxx
@@ -3,33 +3,23 @@
 
 #include <cstdio>
 #include <filesystem>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
-#include "base/event_log.h"
+#include "fakes/product_program.h"
 #include "Soak/soak_run.h"
 
 using namespace medlaryoke;
 
 namespace {
 
-std::string make_directory()
-{
-    auto pattern = (std::filesystem::temp_directory_path() / "medlaryoke-soak-XXXXXX").string();
-    if (::mkdtemp(pattern.data()) == nullptr) {
-        throw std::runtime_error("cannot make a temporary directory");
-    }
-    return pattern;
-}
-
 /// @return whether all promises were kept
 bool play(unsigned seed, unsigned seconds)
 {
-    const auto directory = make_directory();
+    const auto directory = fakes::make_temporary_directory();
     soak::soak_run run(seed, directory);
     run.play(std::chrono::seconds(seconds));
     const auto violations = run.ledger().violations();
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <sys/wait.h>
 
 namespace medlaryoke::soak {
@@ -32,20 +31,6 @@
 constexpr auto freeze_time = 1s;
 constexpr auto step = 10ms;
 
-nlohmann::json route(const std::string& name, const std::string& kind, unsigned attempts)
-{
-    return {{"name", name},
-            {"host", "desk.example"},
-            {"pathPrefix", "/" + name + "/"},
-            {"kind", kind},
-            {"timeoutMs", 2000},
-            {"targetLatencyMs", 500},
-            {"service", "desk"},
-            {"public", true},
-            {"maxAttempts", attempts},
-            {"resumable", name == "stream"}};
-}
-
 } // namespace
 
 soak_run::soak_run(unsigned seed, const std::string& directory)
@@ -56,7 +41,7 @@
     for (unsigned n = 0; n < upstream_count; ++n) {
         this->upstreams_.push_back(std::make_unique<soak_upstream>(this->context_, this->witness_,
                                                                    fmt::format("upstream-{}", n)));
-        this->list(*this->upstreams_.back(), "ready");
+        this->store_.list(*this->upstreams_.back(), "ready");
     }
     this->configure();
     for (unsigned n = 0; n < gateway_count; ++n) {
@@ -67,28 +52,14 @@
     this->wait_until_ready();
 }
 
-void soak_run::list(const soak_upstream& upstream, const std::string& state)
-{
-    this->store_.put("keyed.servers", upstream.name(),
-                     nlohmann::json{{"service", "desk"},
-                                    {"address", upstream.address()},
-                                    {"zone", "dc-0"},
-                                    {"slots", 8},
-                                    {"state", state}}
-                         .dump());
-}
-
 void soak_run::configure()
 {
     ++this->version_;
-    const nlohmann::json config{
-        {"version", this->version_},
-        {"routes",
-         {route("safe", "safe", max_attempts), route("unsafe", "unsafe", 1),
-          route("stream", "streaming", max_attempts),
-          route(fmt::format("version-{}", this->version_), "safe", max_attempts)}},
-        {"services", {{{"name", "desk"}}}}};
-    this->store_.put("keyed.op", "config", config.dump());
+    this->store_.configure(
+        this->version_, {{"safe", "safe", max_attempts, false},
+                         {"unsafe", "unsafe", 1, false},
+                         {"stream", "streaming", max_attempts, true},
+                         {fmt::format("version-{}", this->version_), "safe", max_attempts, false}});
 }
 
 void soak_run::play(std::chrono::seconds faults_for)
@@ -236,8 +207,8 @@
         upstream.proxy().drop_answers(true);
         break;
     default:
-        begin("draining", [this, &upstream] { this->list(upstream, "ready"); });
-        this->list(upstream, "draining");
+        begin("draining", [this, &upstream] { this->store_.list(upstream, "ready"); });
+        this->store_.list(upstream, "draining");
         break;
     }
 }
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -41,7 +41,6 @@
         std::function<void()> act;
     };
 
-    void list(const soak_upstream& upstream, const std::string& state);
     void configure();
     void begin_fault();
     void break_gateway(unsigned kind);
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -17,6 +17,7 @@
 constexpr std::size_t length_bytes = 4;
 constexpr std::size_t offset_bytes = 8;
 constexpr unsigned byte_bits = 8;
+constexpr auto service_name = "desk";
 
 std::string big_endian(std::uint64_t number, std::size_t size)
 {
@@ -51,6 +52,38 @@
     return log.records.size() - 1;
 }
 
+void soak_store::list(const soak_upstream& upstream, const std::string& state)
+{
+    this->put("keyed.servers", upstream.name(),
+              nlohmann::json{{"service", service_name},
+                             {"address", upstream.address()},
+                             {"zone", "dc-0"},
+                             {"slots", 8},
+                             {"state", state}}
+                  .dump());
+}
+
+void soak_store::configure(unsigned version, const std::vector<soak_route>& routes)
+{
+    auto list = nlohmann::json::array();
+    for (const auto& route : routes) {
+        list.push_back({{"name", route.name},
+                        {"host", "desk.example"},
+                        {"pathPrefix", "/" + route.name + "/"},
+                        {"kind", route.kind},
+                        {"timeoutMs", 2000},
+                        {"targetLatencyMs", 500},
+                        {"service", service_name},
+                        {"public", true},
+                        {"maxAttempts", route.max_attempts},
+                        {"resumable", route.resumable}});
+    }
+    this->put("keyed.op", "config",
+              nlohmann::json{
+                  {"version", version}, {"routes", list}, {"services", {{{"name", service_name}}}}}
+                  .dump());
+}
+
 void soak_store::set_state(store_state state)
 {
     const std::scoped_lock lock(this->mutex_);
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "Soak/soak_upstream.h"
 #include "transport/http_server.h"
 #include "transport/runtime.h"
 
@@ -15,6 +16,14 @@
 /// How the store answers.
 enum class store_state { works, refuses, silent };
 
+/// A route to the only service, for the host `desk.example` and the paths below its name.
+struct soak_route {
+    std::string name;
+    std::string kind; ///< `safe`, `unsafe` or `streaming`
+    unsigned max_attempts = 1;
+    bool resumable = false;
+};
+
 /// The platform's store, as far as gateways use it: keyed topics of one partition. Also the
 /// operator, who writes without the network. Thread safe.
 class soak_store {
@@ -32,6 +41,16 @@
     /// @return offset of the record
     std::uint64_t put(const std::string& topic, const std::string& key, const std::string& value);
 
+    /// Writes the entry of an upstream.
+    /// @param upstream the upstream
+    /// @param state `ready` or `draining`
+    void list(const soak_upstream& upstream, const std::string& state);
+
+    /// Writes a configuration.
+    /// @param version higher than all before
+    /// @param routes all routes
+    void configure(unsigned version, const std::vector<soak_route>& routes);
+
     /// @param state how calls are answered from now on
     void set_state(store_state state);
 
--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -1,7 +1,6 @@
 #include <array>
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <filesystem>
 #include <sstream>
 #include <string>
@@ -16,6 +15,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "fakes/product_program.h"
 #include "Soak/gateway_child.h"
 #include "Soak/soak_caller.h"
 #include "Soak/soak_store.h"
@@ -32,24 +32,14 @@
 class small_site {
 public:
     explicit small_site(int output = -1)
-        : directory(make_directory()), store(context), upstream(context, witness, "upstream-0"),
-          gateway(directory, 0, 1, store.address())
+        : directory(fakes::make_temporary_directory()), store(context),
+          upstream(context, witness, "upstream-0"), gateway(directory, 0, 1, store.address())
     {
         this->context.start();
-        this->store.put("keyed.servers", "upstream-0",
-                        json{{"service", "desk"},
-                             {"address", this->upstream.address()},
-                             {"zone", "dc-0"},
-                             {"slots", 8},
-                             {"state", "ready"}}
-                            .dump());
-        this->store.put("keyed.op", "config",
-                        json{{"version", 1},
-                             {"routes",
-                              {route("safe", "safe", 2), route("unsafe", "unsafe", 1),
-                               route("stream", "streaming", 1)}},
-                             {"services", {{{"name", "desk"}}}}}
-                            .dump());
+        this->store.list(this->upstream, "ready");
+        this->store.configure(1, {{"safe", "safe", 2, false},
+                                  {"unsafe", "unsafe", 1, false},
+                                  {"stream", "streaming", 1, false}});
         this->gateway.start(output);
         for (int n = 0; n < 500 && get_status(this->gateway.readiness_address(), "/ready") != 200;
              ++n) {
@@ -100,22 +90,6 @@
     run_witness witness;
     soak_upstream upstream;
     gateway_child gateway;
-
-private:
-    static std::string make_directory()
-    {
-        auto pattern =
-            (std::filesystem::temp_directory_path() / "medlaryoke-process-XXXXXX").string();
-        cr_assert(::mkdtemp(pattern.data()) != nullptr);
-        return pattern;
-    }
-
-    static json route(const std::string& name, const std::string& kind, unsigned attempts)
-    {
-        return {{"name", name},      {"host", "desk.example"}, {"pathPrefix", "/" + name + "/"},
-                {"kind", kind},      {"timeoutMs", 1500},      {"targetLatencyMs", 500},
-                {"service", "desk"}, {"public", true},         {"maxAttempts", attempts}};
-    }
 };
 
 } // namespace
--- a/Tests/gateway/test_gateway.cxx
+++ b/Tests/gateway/test_gateway.cxx
@@ -33,6 +33,15 @@
                                      : head + caller.read_until("}");
 }
 
+/// Waits for the next request at an upstream.
+/// @return its connection, after the head of the request
+fakes::raw_connection accept_request(const fakes::raw_listener& upstream)
+{
+    auto connection = upstream.accept();
+    cr_assert(!connection.read_until("\r\n\r\n").empty());
+    return connection;
+}
+
 } // namespace
 
 // Guards against a key that reaches an upstream, an organisation that the caller chose itself, and
@@ -81,8 +90,7 @@
     const auto caller = site.call("/unsafe/", key);
     const auto first = site.reached();
     {
-        const auto upstream = site.upstreams[first]->accept();
-        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        const auto upstream = accept_request(*site.upstreams[first]);
     }
     const auto answer = read_answer(caller);
     cr_assert(has_status(answer, 502), "%s", answer.c_str());
@@ -99,11 +107,9 @@
         "HTTP/1.1 503 Busy\r\nX-Id: r-1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     const auto caller = site.call("/unsafe/", key);
     const auto first = site.reached();
-    const auto one = site.upstreams[first]->accept();
-    cr_assert(!one.read_until("\r\n\r\n").empty());
+    const auto one = accept_request(*site.upstreams[first]);
     one.send(refusal);
-    const auto other = site.upstreams[1 - first]->accept();
-    cr_assert(!other.read_until("\r\n\r\n").empty());
+    const auto other = accept_request(*site.upstreams[1 - first]);
     other.send(refusal);
     const auto answer = read_answer(caller);
     cr_assert(has_status(answer, 503) && contains(answer, "Retry-After: "), "%s", answer.c_str());
@@ -117,8 +123,7 @@
     site.configure();
     const auto started = std::chrono::steady_clock::now();
     const auto caller = site.call("/safe/", key);
-    const auto upstream = site.upstreams[0]->accept();
-    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    const auto upstream = accept_request(*site.upstreams[0]);
     upstream.send(
         "HTTP/1.1 500 Failed\r\nX-Id: r-1\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\n{}");
     cr_assert(has_status(read_answer(caller), 500));
@@ -134,13 +139,11 @@
     const auto caller = site.call("/safe/", key);
     const auto first = site.reached();
     {
-        const auto upstream = site.upstreams[first]->accept();
-        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        const auto upstream = accept_request(*site.upstreams[first]);
         upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
                       "Content-Length: 10\r\n\r\n{\"a");
     }
-    const auto other = site.upstreams[1 - first]->accept();
-    cr_assert(!other.read_until("\r\n\r\n").empty());
+    const auto other = accept_request(*site.upstreams[1 - first]);
     other.send(signed_answer("r-1", "{\"b\":1}"));
     const auto answer = read_answer(caller);
     cr_assert(has_status(answer, 200) && answer.ends_with("{\"b\":1}"), "%s", answer.c_str());
@@ -153,13 +156,11 @@
     gateway_site site(1);
     site.configure();
     const auto caller = site.call("/unsafe/", key);
-    const auto upstream = site.upstreams[0]->accept();
-    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    const auto upstream = accept_request(*site.upstreams[0]);
     upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nContent-Length: 2\r\n\r\n{}");
     cr_assert(has_status(read_answer(caller), 502));
     const auto second = site.call("/unsafe/", key);
-    const auto again = site.upstreams[0]->accept();
-    cr_assert(!again.read_until("\r\n\r\n").empty());
+    const auto again = accept_request(*site.upstreams[0]);
     again.send("HTTP/1.1 500 Broken\r\nX-Id: r-1\r\nX-Signature: f\r\nContent-Length: 2\r\n\r\n{}");
     const auto answer = read_answer(second);
     cr_assert(has_status(answer, 500) && contains(answer, "X-Signature: f"), "%s", answer.c_str());
@@ -198,8 +199,7 @@
     site.configure();
     const auto caller = site.call("/stream/", key);
     {
-        const auto upstream = site.upstreams[0]->accept();
-        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        const auto upstream = accept_request(*site.upstreams[0]);
         upstream.send("HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
                       "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n");
     }
@@ -213,8 +213,7 @@
     gateway_site site(1);
     site.configure();
     auto caller = std::make_unique<fakes::raw_connection>(site.call("/unsafe/", key));
-    const auto upstream = site.upstreams[0]->accept();
-    cr_assert(!upstream.read_until("\r\n\r\n").empty());
+    const auto upstream = accept_request(*site.upstreams[0]);
     caller.reset();
     cr_assert(upstream.read_all().empty()); // ends, as the connection is closed
     site.run([&site] { cr_assert(site.target->open_requests() == 0); });
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -52,6 +52,29 @@
     return response != nullptr && response->body == "ok";
 }
 
+/// A client whose kept connections have all gone silent without being closed.
+struct silent_connections {
+    explicit silent_connections(std::size_t count)
+    {
+        std::vector<std::promise<fetch_result>> results(count);
+        for (auto& result : results) {
+            this->client.fetch(get_request, {}, [&result](fetch_result value) {
+                result.set_value(std::move(value));
+            });
+        }
+        for (auto& result : results) {
+            cr_assert(is_ok(result.get_future().get()));
+        }
+        this->proxy.silence_open_connections();
+    }
+
+    http_pair pair{[](const http_request&, const std::shared_ptr<response_stream>& stream) {
+        stream->respond(make_json_response(200, "ok"));
+    }};
+    tcp_proxy proxy{pair.server.address()};
+    http_client client{pair.context, proxy.address()};
+};
+
 } // namespace
 
 // Guards against a request that runs twice because the client sends it again by itself.
@@ -128,57 +151,31 @@
 // Guards against waiting on, or reusing, connections that went silent without being closed.
 Test(http_client, retires_silent_connections)
 {
-    http_pair pair([](const http_request&, const std::shared_ptr<response_stream>& stream) {
-        stream->respond(make_json_response(200, "ok"));
-    });
-    tcp_proxy proxy(pair.server.address());
-    http_client client(pair.context, proxy.address());
-    std::vector<std::promise<fetch_result>> results(8);
-    for (auto& result : results) {
-        client.fetch(get_request, {},
-                     [&result](fetch_result value) { result.set_value(std::move(value)); });
-    }
-    for (auto& result : results) {
-        cr_assert(is_ok(result.get_future().get()));
-    }
-    proxy.silence_open_connections();
+    silent_connections site(8);
     http_timeouts timeouts;
     timeouts.first_byte = std::chrono::milliseconds(50);
-    const auto silent = failure(client, get_request, timeouts);
+    const auto silent = failure(site.client, get_request, timeouts);
     cr_assert(silent.kind == error_kind::deadline_exceeded);
     cr_assert(silent.maybe_sent);
-    const auto opened = proxy.opened();
-    cr_assert(is_ok(fetch(client, get_request)));
-    cr_assert(proxy.opened() == opened + 1);
+    const auto opened = site.proxy.opened();
+    cr_assert(is_ok(fetch(site.client, get_request)));
+    cr_assert(site.proxy.opened() == opened + 1);
 }
 
 // Guards against requests that hang one after the other in connections that went silent together:
 // the first one is cancelled at its own deadline and not by a timeout of the client.
 Test(http_client, retires_silent_connections_after_a_cancel)
 {
-    http_pair pair([](const http_request&, const std::shared_ptr<response_stream>& stream) {
-        stream->respond(make_json_response(200, "ok"));
-    });
-    tcp_proxy proxy(pair.server.address());
-    http_client client(pair.context, proxy.address());
-    std::vector<std::promise<fetch_result>> results(4);
-    for (auto& result : results) {
-        client.fetch(get_request, {},
-                     [&result](fetch_result value) { result.set_value(std::move(value)); });
-    }
-    for (auto& result : results) {
-        cr_assert(is_ok(result.get_future().get()));
-    }
-    proxy.silence_open_connections();
-    const auto hanging = client.send(get_request, {}, {});
+    silent_connections site(4);
+    const auto hanging = site.client.send(get_request, {}, {});
     std::this_thread::sleep_for(std::chrono::milliseconds(600));
     hanging->cancel();
     std::this_thread::sleep_for(std::chrono::milliseconds(50));
-    const auto opened = proxy.opened();
+    const auto opened = site.proxy.opened();
     http_timeouts timeouts;
     timeouts.first_byte = std::chrono::seconds(2);
-    cr_assert(is_ok(fetch(client, get_request, timeouts)));
-    cr_assert(proxy.opened() == opened + 1);
+    cr_assert(is_ok(fetch(site.client, get_request, timeouts)));
+    cr_assert(site.proxy.opened() == opened + 1);
 }
 
 // Guards against events after a cancel.
