transport: Withdraw cancelled requests with a reset

Cause: a request that its caller had given up was closed in the usual way. Ruled out: a late cancel. The gateway closed at 9.882 s, 3 ms after the client. Change: cancelled and failed exchanges close with a reset, which drops what was not read. Test: withdraws_a_cancelled_request_with_a_reset fails without the option.

--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -224,6 +224,9 @@
     void cancel(const client_exchange* exchange);
     void close();
 
+    /// Closes the connection with a reset, which withdraws a request that is on its way.
+    void abort();
+
     // When the connection expires; guarded by the mutex of the pool while the connection is idle.
     time_point idle_until{};
 
@@ -316,7 +319,7 @@
         std::chrono::steady_clock::now() - this->started_at_ >= dead_connection_threshold) {
         this->close_idle_connections();
     }
-    this->close();
+    this->abort();
 }
 
 void client_connection::close_idle_connections()
@@ -350,11 +353,19 @@
     }
 }
 
+void client_connection::abort()
+{
+    // A reset, so that a server that has not read the request yet never does.
+    error_code ec;
+    this->socket_.set_option(asio::socket_base::linger(true, 0), ec);
+    this->close();
+}
+
 void client_connection::fail(error_kind kind, const std::string& what)
 {
     const auto exchange = this->exchange_;
     const auto maybe_sent = this->maybe_sent_;
-    this->close();
+    this->abort();
     if (exchange) {
         exchange->deliver_failure(
             {kind, fmt::format("{}: {}", this->pool_->address, what), maybe_sent});
--- a/Tests/fakes/raw_socket.cxx
+++ b/Tests/fakes/raw_socket.cxx
@@ -87,6 +87,19 @@
     return text;
 }
 
+bool raw_connection::has_bytes_within(std::chrono::milliseconds limit) const
+{
+    pollfd entry{this->descriptor_, POLLIN, 0};
+    return poll(&entry, 1, static_cast<int>(limit.count())) > 0 && (entry.revents & POLLIN) != 0;
+}
+
+bool raw_connection::is_reset_within(std::chrono::milliseconds limit) const
+{
+    // POLLERR and POLLHUP are always reported; a connection that was only closed is readable.
+    pollfd entry{this->descriptor_, 0, 0};
+    return poll(&entry, 1, static_cast<int>(limit.count())) > 0 && (entry.revents & POLLERR) != 0;
+}
+
 raw_listener::raw_listener() : descriptor_(check(socket(AF_INET, SOCK_STREAM, 0), "socket"))
 {
     const int enabled = 1;
--- a/Tests/fakes/raw_socket.h
+++ b/Tests/fakes/raw_socket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -43,6 +44,14 @@
     /// @return the bytes
     [[nodiscard]] std::string read_all() const;
 
+    /// @param limit longest time to wait
+    /// @return whether bytes have arrived that were not read
+    [[nodiscard]] bool has_bytes_within(std::chrono::milliseconds limit) const;
+
+    /// @param limit longest time to wait
+    /// @return whether the peer has reset the connection
+    [[nodiscard]] bool is_reset_within(std::chrono::milliseconds limit) const;
+
 private:
     int descriptor_;
 };
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -19,6 +19,7 @@
 using namespace medlaryoke::transport;
 using medlaryoke::fakes::raw_listener;
 using medlaryoke::fakes::tcp_proxy;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -179,6 +180,18 @@
     cr_assert(setup.proxy.opened() == opened + 1);
 }
 
+// Guards against work for a caller that has left: a server that was frozen or slow read the request
+// from a connection that had been closed in the usual way, and began to run it.
+Test(http_client, withdraws_a_cancelled_request_with_a_reset)
+{
+    scripted_server script;
+    const auto running = script.client.send(get_request, {}, {});
+    const auto connection = script.listener.accept();
+    cr_assert(connection.has_bytes_within(2s)); // sent, but not read by the server
+    running->cancel();
+    cr_assert(connection.is_reset_within(2s));
+}
+
 // Guards against callbacks that are called after the exchange was cancelled.
 Test(http_client, delivers_no_event_after_a_cancel)
 {
