transport: Bound replies and requests that have no end

Cause: a server in trouble may send bytes that are no answer without end, in a head or a body. Read and played (test_endless_bytes, red before): a fetch whose body passed its limit read on for ever; a byte now and then kept any fetch open; replies to other requests were skipped for ever; the chunked coding's size line, extension and trailer had no limit at a client or a server (a caller made the process grow by 1.4 to 2.1 GB in 4 s). Ruled out: heads (the parser's limit held, 64 KB at clients, the setting at servers) and requests whose whole body is too long (413). Change: a fetch ends at its limit with a reset; a limit for the whole exchange (60 s for fetches); limits of skipped bytes, interim replies and unparsed bytes.

--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -40,7 +40,12 @@
 using tcp = asio::ip::tcp;
 
 constexpr std::uint32_t max_reply_header_bytes = 64U * 1024U;
-constexpr std::size_t max_fetched_body_bytes = 64U * 1024U * 1024U;
+// Bounds what a reader holds that waits for the end of a head, a chunk header or a trailer.
+constexpr std::size_t max_unparsed_bytes = 2U * max_reply_header_bytes;
+// Bytes of replies to other requests after which no reply to this one is expected any more.
+constexpr std::size_t max_skipped_bytes = 1024U * 1024U;
+constexpr std::size_t skipped_bytes_of_a_head = 64; // counted for its smallest size
+constexpr unsigned max_interim_replies = 16;        // 1xx replies before the final one
 constexpr std::size_t body_buffer_bytes = 16U * 1024U;
 
 std::string encode_request(const http_request& request, const std::string& address)
@@ -268,7 +273,9 @@
     bool desynchronised_ = false; ///< such a reply was read; the connection is not reused
     time_point started_at_{};     ///< when the request was given to this connection
     std::optional<duration> server_idle_timeout_; ///< from the `Keep-Alive` header
-    boost::beast::flat_buffer buffer_;
+    unsigned interim_replies_ = 0;                ///< 1xx replies to the current request
+    std::size_t skipped_bytes_ = 0;               ///< bytes of replies to other requests
+    boost::beast::flat_buffer buffer_{max_unparsed_bytes};
     std::unique_ptr<http::response_parser<http::buffer_body>> parser_;
     std::array<char, body_buffer_bytes> body_buffer_{};
 };
@@ -291,9 +298,13 @@
 
 void client_connection::start_timeout(duration timeout, std::string_view activity)
 {
-    this->current_timeout_ = timeout;
-    this->timed_activity_ = activity;
-    this->deadline_.set(timeout, this->shared_from_this());
+    const auto& total = this->timeouts_.total;
+    const auto left = this->started_at_ + total - std::chrono::steady_clock::now();
+    const bool is_total = total > duration::zero() && left < timeout;
+    this->current_timeout_ = is_total ? total : timeout;
+    this->timed_activity_ = is_total ? "the whole exchange" : activity;
+    this->deadline_.set(is_total ? std::max<duration>(left, duration::zero()) : timeout,
+                        this->shared_from_this());
 }
 
 void client_connection::on_timeout()
@@ -394,6 +405,8 @@
     this->timeouts_ = timeouts;
     this->exchange_ = std::move(exchange);
     this->maybe_sent_ = false;
+    this->interim_replies_ = 0;
+    this->skipped_bytes_ = 0;
     this->started_at_ = std::chrono::steady_clock::now();
     if (this->phase_ == phase::idle && !this->is_stale()) {
         this->phase_ = phase::exchanging;
@@ -535,6 +548,10 @@
     const auto& message = this->parser_->get();
     constexpr unsigned first_final_status = 200; // 1xx replies are interim
     if (message.result_int() < first_final_status) {
+        if (++this->interim_replies_ > max_interim_replies) {
+            this->fail(error_kind::unavailable, "too many interim replies");
+            return;
+        }
         this->read_head();
         return;
     }
@@ -548,6 +565,7 @@
     this->parser_->eager(false);
     this->server_idle_timeout_ = parse_keep_alive_timeout(head);
     this->skipping_reply_ = !this->exchange_->accepts_reply(head);
+    this->skipped_bytes_ += this->skipping_reply_ ? skipped_bytes_of_a_head : 0;
     if (!this->skipping_reply_) {
         this->exchange_->deliver_head(head);
     }
@@ -575,6 +593,11 @@
         return;
     }
     const auto n = this->body_buffer_.size() - this->parser_->get().body().size;
+    this->skipped_bytes_ += this->skipping_reply_ ? n : 0;
+    if (this->skipped_bytes_ > max_skipped_bytes) {
+        this->fail(error_kind::unavailable, "too many bytes of replies to other requests");
+        return;
+    }
     if (n > 0 && !this->skipping_reply_) {
         this->exchange_->deliver_data(std::string(this->body_buffer_.data(), n));
     }
@@ -594,6 +617,10 @@
 {
     if (this->skipping_reply_) {
         this->desynchronised_ = true;
+        if (this->skipped_bytes_ > max_skipped_bytes) {
+            this->fail(error_kind::unavailable, "too many bytes of replies to other requests");
+            return;
+        }
         this->start_timeout(this->timeouts_.first_byte, "waiting for the reply");
         this->read_head();
         return;
@@ -666,7 +693,35 @@
     http_response response;
     std::function<void(std::variant<http_response, http_failure>)> done;
     std::weak_ptr<http_exchange> exchange;
-    bool too_large = false;
+    std::size_t max_bytes = 0;
+    std::mutex mutex; ///< guards ended and exchange
+    bool ended = false;
+
+    /// @return whether this call ends the exchange
+    bool mark_ended()
+    {
+        const std::scoped_lock lock(this->mutex);
+        return !std::exchange(this->ended, true);
+    }
+
+    /// Ends an exchange whose reply is too long.
+    void end_as_too_large()
+    {
+        if (!this->mark_ended()) {
+            return;
+        }
+        std::shared_ptr<http_exchange> running;
+        {
+            const std::scoped_lock lock(this->mutex);
+            running = this->exchange.lock();
+        }
+        if (running) {
+            running->cancel();
+        }
+        this->done(http_failure{
+            error_kind::too_large,
+            fmt::format("the reply exceeds the limit of {} bytes", this->max_bytes), true});
+    }
 };
 
 } // namespace
@@ -747,32 +802,46 @@
 
 std::shared_ptr<http_exchange>
 http_client::fetch(const http_request& request, http_timeouts timeouts,
-                   std::function<void(std::variant<http_response, http_failure>)> done)
+                   std::function<void(std::variant<http_response, http_failure>)> done,
+                   std::size_t max_reply_bytes)
 {
     const auto state = std::make_shared<fetch_state>();
     state->done = std::move(done);
+    state->max_bytes = max_reply_bytes;
     http_events events;
     events.on_head = [state](const http_head& head) { state->response.head = head; };
     events.on_data = [state](const std::string& data) {
-        if (state->response.body.size() + data.size() <= max_fetched_body_bytes) {
-            state->response.body += data;
-        }
-        else {
-            state->too_large = true;
+        if (state->response.body.size() + data.size() > state->max_bytes) {
+            state->end_as_too_large();
+            return;
         }
+        state->response.body += data;
     };
     events.on_end = [state] {
-        if (state->too_large) {
-            state->done(http_failure{
-                error_kind::too_large,
-                fmt::format("the reply exceeds the limit of {} bytes", max_fetched_body_bytes),
-                true});
-            return;
+        if (state->mark_ended()) {
+            state->done(std::move(state->response));
         }
-        state->done(std::move(state->response));
     };
-    events.on_failure = [state](const http_failure& failure) { state->done(failure); };
-    return this->send(request, timeouts, std::move(events));
+    events.on_failure = [state](const http_failure& failure) {
+        if (state->mark_ended()) {
+            state->done(failure);
+        }
+    };
+    if (timeouts.total == duration::zero()) {
+        timeouts.total = default_fetch_time;
+    }
+    auto exchange = this->send(request, timeouts, std::move(events));
+    bool is_over = false;
+    {
+        // The reply may have become too long before the exchange was known here.
+        const std::scoped_lock lock(state->mutex);
+        state->exchange = exchange;
+        is_over = state->ended;
+    }
+    if (is_over) {
+        exchange->cancel();
+    }
+    return exchange;
 }
 
 } // namespace medlaryoke::transport
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -19,8 +19,17 @@
     duration write = std::chrono::seconds(2);          ///< to send the whole request
     duration first_byte = std::chrono::seconds(10);    ///< from the end of the request to the head
     duration between_bytes = std::chrono::seconds(10); ///< between two reads of the reply
+    /// For the whole exchange, so that a server that sends a byte now and then does not keep it
+    /// open. Zero: no limit for send, as streams may last; default_fetch_time for fetch.
+    duration total{};
 };
 
+/// Default limit of an exchange whose reply is collected as a whole.
+constexpr duration default_fetch_time = std::chrono::seconds(60);
+
+/// Default limit of a reply that is collected as a whole.
+constexpr std::size_t default_max_reply_bytes = 64U * 1024U * 1024U;
+
 /// Reports why an exchange ended without a whole reply.
 struct http_failure {
     error_kind kind = error_kind::unavailable;
@@ -33,7 +42,7 @@
 struct http_events {
     /// Returns whether a reply belongs to this request; if empty, every reply does. A reply to
     /// another request is skipped, the client waits for the next one, and the connection is not
-    /// reused.
+    /// reused. The exchange fails if replies to other requests take too many bytes.
     std::function<bool(const http_head&)> is_matching_reply;
     std::function<void(const http_head&)> on_head;
     std::function<void(std::string)> on_data;
@@ -86,10 +95,12 @@
     /// @param request the request
     /// @param timeouts limits for each phase
     /// @param done called once with the reply or the failure, unless the exchange is cancelled
+    /// @param max_reply_bytes a longer body ends the exchange with a failure of kind too_large
     /// @return the exchange, which can be cancelled
     std::shared_ptr<http_exchange>
     fetch(const http_request& request, http_timeouts timeouts,
-          std::function<void(std::variant<http_response, http_failure>)> done);
+          std::function<void(std::variant<http_response, http_failure>)> done,
+          std::size_t max_reply_bytes = default_max_reply_bytes);
 
     class implementation;
 
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -477,6 +477,8 @@
     const auto options = this->current_options();
     this->parser_->header_limit(static_cast<std::uint32_t>(options->max_header_bytes));
     this->parser_->body_limit(options->max_body_bytes);
+    // Also bounds a chunk header or a trailer without end, which the parser itself does not.
+    this->buffer_.max_size(options->max_header_bytes + 2 * read_buffer_bytes);
     this->read_deadline_.set(options->header_timeout, this->shared_from_this());
     http::async_read_header(
         this->socket_, this->buffer_, *this->parser_,
