gateway: Bound what unfinished responses hold

Cause: a body could hold 8 MB for each request, an event any amount, and a slow caller 4 MB a stream. An event without end kept its caller until the route's timeout. Ruled out, played and green before: a slow but sound stream is not cut; a stalled one that gets a byte now and then ends at its route's timeout, as incomplete. Change: a budget of 64 MB for all responses that are held; 256 KB for an event and for what a caller has not read; the splitter no longer searches the same bytes again. After: less than 128 MB more under the same load, the event's attempt ends after 256 KB.

--- a/Source/experts/rank_link.cxx
+++ b/Source/experts/rank_link.cxx
@@ -11,6 +11,12 @@
 // An agent that gets a small fraction of a core next to a busy engine answers within about 30 ms.
 constexpr auto agent_timeout = std::chrono::milliseconds(400);
 
+// For a whole reply, also if the agent sends a byte now and then.
+constexpr auto agent_exchange_timeout = std::chrono::milliseconds(1200);
+
+// Larger than the counts and the experts of a rank.
+constexpr std::size_t max_reply_bytes = 4U * 1024U * 1024U;
+
 // Time for which the agent is bypassed after it did not answer. A killed agent restarts in about
 // this time.
 constexpr auto agent_bypass_time = std::chrono::seconds(2);
@@ -33,7 +39,7 @@
     }
     this->agent_.fetch(
         {"POST", "/rank", {}, encode_rank_request(request)},
-        {agent_timeout, agent_timeout, agent_timeout, agent_timeout},
+        {agent_timeout, agent_timeout, agent_timeout, agent_timeout, agent_exchange_timeout},
         [self = this->shared_from_this(), done = std::move(done)](const auto& result) {
             if (const auto* reply = std::get_if<transport::http_response>(&result);
                 reply != nullptr && reply->head.status == 200) {
@@ -46,7 +52,8 @@
             self->log_.note(log_level::warning, "agent does not answer",
                             {{"agent", self->agent_address_}});
             done({policy::order_result::unanswered, {}, {}, {}});
-        });
+        },
+        max_reply_bytes);
 }
 
 void rank_link::send_directly(rank_request request, std::function<void(rank_reply)> done)
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -28,6 +28,9 @@
     std::string data_centre;
     policy::attempt_budget_options retry_budget; ///< shared by all gateways
     std::uint64_t seed = 0;                      ///< seeds the random choices
+    /// Bytes of responses that are held at the same time until they are complete. A response that
+    /// would exceed them fails.
+    std::size_t max_held_response_bytes = 64U * 1024U * 1024U;
 };
 
 /// Routes callers' HTTP requests by host and path to the upstreams of a service. Uses no locks: all
@@ -86,6 +89,7 @@
     const config_state& config_;
     request_filters filters_;
     gateway_metrics metrics_;
+    policy::byte_budget held_bytes_{options_.max_held_response_bytes};
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -25,6 +25,8 @@
 constexpr auto max_peer_ahead_time = std::chrono::milliseconds(400);
 
 constexpr auto config_fetch_timeout = std::chrono::milliseconds(800);
+constexpr auto config_exchange_timeout = std::chrono::seconds(3); // for the whole response
+constexpr std::size_t max_config_bytes = 8U * 1024U * 1024U;
 
 // A draining process stops this long before the end of the grace period, when it would be killed.
 constexpr auto kill_margin = std::chrono::milliseconds(400);
@@ -354,14 +356,16 @@
         std::make_unique<transport::http_client>(this->context_, control_address);
     this->config_client_->fetch(
         {"GET", "/config", {}, {}},
-        {config_fetch_timeout, config_fetch_timeout, config_fetch_timeout, config_fetch_timeout},
+        {config_fetch_timeout, config_fetch_timeout, config_fetch_timeout, config_fetch_timeout,
+         config_exchange_timeout},
         [this, control_address](const auto& result) {
             this->is_fetching_config_ = false;
             if (const auto* reply = std::get_if<transport::http_response>(&result);
                 reply != nullptr && reply->head.status == 200) {
                 this->apply_config(reply->body, "peer " + control_address);
             }
-        });
+        },
+        max_config_bytes);
 }
 
 void gateway_process::tick()
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -19,7 +19,9 @@
 constexpr std::size_t max_response_bytes = 8U * 1024U * 1024U;
 
 // A caller that reads a stream too slowly is disconnected when more than this is unsent.
-constexpr std::size_t max_unsent_bytes = 4U * 1024U * 1024U;
+constexpr std::size_t max_unsent_bytes = 256U * 1024U;
+// An event that is not complete after as many bytes is no event.
+constexpr std::size_t max_event_bytes = 256U * 1024U;
 
 // 200 round trips within a region.
 constexpr auto connect_timeout = std::chrono::milliseconds(400);
@@ -173,11 +175,16 @@
         this->on_stream_data(data);
         return;
     }
-    it.body += data;
-    if (it.body.size() > max_response_bytes) {
+    const bool is_too_long = it.body.size() + data.size() > max_response_bytes;
+    if (is_too_long || !this->dispatcher_->held_bytes().try_take(data.size())) {
         this->end_and_exclude(policy::call_outcome::failed);
-        this->on_attempt_failed(attempt_failure::unknown, "the response is too long");
+        this->on_attempt_failed(attempt_failure::unknown, is_too_long
+                                                              ? "the response is too long"
+                                                              : "responses hold too much memory");
+        return;
     }
+    it.held_bytes += data.size();
+    it.body += data;
 }
 
 void proxied_request::on_stream_data(const std::string& data)
@@ -185,6 +192,10 @@
     auto& it = *this->attempt_;
     auto complete_events = this->splitter_.add(data);
     if (complete_events.empty()) {
+        if (this->splitter_.partial_size() > max_event_bytes) {
+            this->end_and_exclude(policy::call_outcome::failed);
+            this->on_attempt_failed(attempt_failure::unknown, "an event has no end");
+        }
         return;
     }
     const auto now = this->dispatcher_->clock().now();
@@ -283,6 +294,7 @@
 {
     const auto ended = std::exchange(this->attempt_, std::nullopt);
     ended->exchange->cancel();
+    this->dispatcher_->held_bytes().give_back(ended->held_bytes);
     this->dispatcher_->on_attempt_result(ended->target.key, outcome, latency);
     this->dispatcher_->on_attempt_ended(ended->target.key,
                                         ended->received_event ? 0 : this->details_.prompt_tokens);
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -59,7 +59,8 @@
         upstream_target target;
         std::shared_ptr<transport::http_exchange> exchange;
         transport::http_head head;
-        std::string body; ///< buffered, unless the response is streamed
+        std::string body;           ///< buffered, unless the response is streamed
+        std::size_t held_bytes = 0; ///< taken from the gateway's budget for the body
         time_point sent_at{};
         time_point last_received_at{}; ///< when the head or the last event came
         bool is_streamed = false;      ///< the body is forwarded event by event
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -21,9 +21,11 @@
 
 service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
                                        const caller_protocol& protocol, gateway_metrics& metrics,
-                                       std::string name, std::uint64_t seed)
+                                       policy::byte_budget& held_bytes, std::string name,
+                                       std::uint64_t seed)
     : context_(context), clock_(clock), protocol_(protocol), metrics_(metrics),
-      name_(std::move(name)), scheduler_({}, seed), wait_policy_({}, seed + 1)
+      held_bytes_(held_bytes), name_(std::move(name)), scheduler_({}, seed),
+      wait_policy_({}, seed + 1)
 {
 }
 
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -14,6 +14,7 @@
 #include "model/route_config.h"
 #include "model/upstream_entry.h"
 #include "policy/attempt_budget.h"
+#include "policy/byte_budget.h"
 #include "policy/outlier_detector.h"
 #include "policy/step_time_limit.h"
 #include "policy/upstream_scheduler.h"
@@ -36,8 +37,8 @@
 class service_dispatcher : public std::enable_shared_from_this<service_dispatcher> {
 public:
     service_dispatcher(transport::runtime& context, const clock_source& clock,
-                       const caller_protocol& protocol, gateway_metrics& metrics, std::string name,
-                       std::uint64_t seed);
+                       const caller_protocol& protocol, gateway_metrics& metrics,
+                       policy::byte_budget& held_bytes, std::string name, std::uint64_t seed);
 
     /// Replaces the upstreams of the service.
     void set_upstreams(const std::vector<model::upstream_entry>& upstreams,
@@ -101,6 +102,8 @@
     [[nodiscard]] const caller_protocol& protocol() const { return this->protocol_; }
     [[nodiscard]] const clock_source& clock() const { return this->clock_; }
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
+    /// @return budget of the responses that this gateway holds
+    [[nodiscard]] policy::byte_budget& held_bytes() { return this->held_bytes_; }
     [[nodiscard]] policy::waiting_policy& wait_policy() { return this->wait_policy_; }
     [[nodiscard]] const policy::upstream_scheduler& scheduler() const { return this->scheduler_; }
     [[nodiscard]] const policy::step_time_limit& step_limit() const { return this->step_limit_; }
@@ -119,6 +122,7 @@
     const clock_source& clock_;
     const caller_protocol& protocol_;
     gateway_metrics& metrics_;
+    policy::byte_budget& held_bytes_;
     std::string name_;
     policy::upstream_scheduler scheduler_;
     policy::waiting_policy wait_policy_;
--- a/Source/transport/event_splitter.cxx
+++ b/Source/transport/event_splitter.cxx
@@ -1,5 +1,6 @@
 #include "transport/event_splitter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace medlaryoke::transport {
@@ -24,12 +25,17 @@
 
 std::string event_splitter::add(std::string_view data)
 {
+    // The blank line may begin in the bytes that came before.
+    constexpr std::size_t blank_line_overlap = 2;
+    auto searched = this->partial_.size() - std::min(this->partial_.size(), blank_line_overlap);
     this->partial_ += data;
     std::size_t end_of_events = 0;
-    while (const auto end =
-               find_event_end(std::string_view(this->partial_).substr(end_of_events))) {
-        this->record_id(std::string_view(this->partial_).substr(end_of_events, *end));
-        end_of_events += *end;
+    while (const auto end = find_event_end(std::string_view(this->partial_).substr(searched))) {
+        const auto event_end = searched + *end;
+        this->record_id(
+            std::string_view(this->partial_).substr(end_of_events, event_end - end_of_events));
+        end_of_events = event_end;
+        searched = event_end;
         ++this->event_count_;
     }
     if (end_of_events == this->partial_.size()) {
--- a/Source/transport/event_splitter.h
+++ b/Source/transport/event_splitter.h
@@ -21,6 +21,9 @@
     /// @return whether the body ends with an incomplete event
     [[nodiscard]] bool has_partial_event() const { return !this->partial_.empty(); }
 
+    /// @return bytes of the incomplete event
+    [[nodiscard]] std::size_t partial_size() const { return this->partial_.size(); }
+
     /// @return number of complete events so far
     [[nodiscard]] std::size_t event_count() const { return this->event_count_; }
 
--- a/Tests/gateway/test_gateway.cxx
+++ b/Tests/gateway/test_gateway.cxx
@@ -1,10 +1,16 @@
 #include "gateway/gateway.h"
 
+#include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <string>
+#include <system_error>
+#include <thread>
+#include <vector>
 
 #include <criterion/criterion.h>
 
+#include "fakes/endless_sender.h"
 #include "gateway/gateway_fixture.h"
 
 using namespace medlaryoke;
@@ -42,6 +48,30 @@
     return connection;
 }
 
+const std::string stream_head = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n"
+                                "Content-Type: text/event-stream\r\n\r\n";
+
+/// Sends bytes again and again until the gateway closes the connection.
+/// @param limit longest time to go on
+/// @return whether the gateway closed it
+bool send_until_closed(const fakes::raw_connection& connection, const std::string& beginning,
+                       const std::string& repeated, std::chrono::milliseconds pause,
+                       std::chrono::milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    try {
+        connection.send(beginning);
+        while (std::chrono::steady_clock::now() < end) {
+            connection.send(repeated);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+    catch (const std::system_error&) {
+        return true;
+    }
+    return false;
+}
+
 } // namespace
 
 // Guards against an API key that is forwarded, an organisation that the caller set in a header, and
@@ -244,3 +274,107 @@
     cr_assert(has_status(answer, 503) && contains(answer, "Retry-After: "), "%s", answer.c_str());
     cr_assert(!fixture.upstreams[0]->has_pending());
 }
+
+// Guards against a gateway whose memory fills while upstreams send bodies without end.
+Test(gateway, holds_bounded_memory_while_ten_upstreams_send_without_end)
+{
+    constexpr unsigned upstream_count = 10;
+    constexpr unsigned call_count = 40;
+    constexpr std::size_t memory_limit = 128U * 1024U * 1024U; // 64 MB of responses and copies
+    gateway_fixture fixture(upstream_count);
+    fixture.configure();
+    std::atomic<bool> stopping = false;
+    std::atomic<unsigned> open = 0;
+    std::vector<std::thread> upstreams;
+    const auto before = fakes::resident_bytes();
+    for (const auto& listener : fixture.upstreams) {
+        upstreams.emplace_back([&stopping, &open, &listener] {
+            std::vector<std::thread> connections;
+            while (!stopping) {
+                if (!listener->has_pending()) {
+                    std::this_thread::sleep_for(1ms);
+                    continue;
+                }
+                connections.emplace_back([&open, upstream = listener->accept()] {
+                    ++open;
+                    if (!upstream.read_until("\r\n\r\n").empty()) {
+                        send_until_closed(upstream,
+                                          "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n\r\n",
+                                          std::string(64U * 1024U, 'x'), 0ms, 10s);
+                    }
+                    --open;
+                });
+            }
+            std::ranges::for_each(connections, [](std::thread& it) { it.join(); });
+        });
+    }
+    std::size_t most = before;
+    std::vector<fakes::raw_connection> callers;
+    for (unsigned n = 0; n < call_count; ++n) {
+        callers.push_back(fixture.call("/safe/", key));
+    }
+    for (const auto& caller : callers) {
+        while (!caller.has_bytes_within(5ms)) {
+            most = std::max(most, fakes::resident_bytes());
+        }
+        const auto answer = caller.read_until("\r\n\r\n");
+        cr_expect(has_status(answer, 502) || has_status(answer, 503) || has_status(answer, 504),
+                  "%s", answer.c_str());
+    }
+    cr_expect(most < before + memory_limit, "%zu bytes more", most - before);
+    for (int n = 0; n < 400 && open > 0; ++n) {
+        std::this_thread::sleep_for(5ms);
+    }
+    cr_expect(open == 0, "%u connections stay open", open.load());
+    stopping = true;
+    std::ranges::for_each(upstreams, [](std::thread& it) { it.join(); });
+}
+
+// Guards against a stream whose event has no end: it fills the memory of the gateway, and its
+// caller waits until the timeout of the route.
+Test(gateway, ends_a_stream_whose_event_has_no_end)
+{
+    gateway_fixture fixture(1);
+    fixture.configure();
+    const auto started = std::chrono::steady_clock::now();
+    const auto caller = fixture.call("/stream/", key);
+    const auto upstream = accept_request(*fixture.upstreams[0]);
+    cr_assert(send_until_closed(upstream, stream_head + "data: ", std::string(1024, 'x'), 0ms, 5s));
+    cr_assert(has_status(read_response(caller), 502));
+    // The timeout of the route is 2 s.
+    cr_assert(std::chrono::steady_clock::now() - started < 1500ms);
+}
+
+// Guards against a slow but sound stream that is cut.
+Test(gateway, lets_a_slow_stream_go_on)
+{
+    gateway_fixture fixture(1);
+    fixture.configure();
+    const auto caller = fixture.call("/stream/", key);
+    {
+        const auto upstream = accept_request(*fixture.upstreams[0]);
+        upstream.send(stream_head);
+        for (int n = 1; n <= 6; ++n) {
+            std::this_thread::sleep_for(300ms); // of the 2 s of the route
+            upstream.send("id: " + std::to_string(n) + "\ndata: x\n\n");
+        }
+    }
+    const auto answer = caller.read_until("0\r\n\r\n");
+    cr_assert(contains(answer, "id: 6\ndata: x\n\n") && answer.ends_with("0\r\n\r\n"), "%s",
+              answer.c_str());
+}
+
+// Guards against a stalled stream that never ends because its upstream sends a byte now and then.
+Test(gateway, ends_a_stalled_stream_at_the_timeout_of_its_route)
+{
+    gateway_fixture fixture(1);
+    fixture.configure();
+    const auto started = std::chrono::steady_clock::now();
+    const auto caller = fixture.call("/stream/", key);
+    const auto upstream = accept_request(*fixture.upstreams[0]);
+    cr_assert(send_until_closed(upstream, stream_head + "id: 1\ndata: a\n\ndata: ", "x", 20ms, 5s));
+    const auto answer = caller.read_all();
+    cr_assert(contains(answer, "data: a\n\n") && !answer.ends_with("0\r\n\r\n"), "%s",
+              answer.c_str());
+    cr_assert(std::chrono::steady_clock::now() - started < 2500ms); // the route allows 2 s
+}
