gateway: Survive malformed messages and unexpected errors

Cause, each played by a test that is red before: an entry of another writer that is nested without end ended the process (stack); one whose address is no address stopped the follower of all entries for good; one heartbeat with an unreadable address stopped all heartbeats of the process that got it, which then counted as dead; a handler that throws ended the process; negative, fractional and boolean counts were taken as numbers, a group size of 4,294,967,295 was allocated; experts that an engine reports out of range were used as indexes. Ruled out: damaged protobuf and JSON of other kinds (30,000 mutations of each record). Change: strict numbers, depth and ranges at the border; unusable addresses are left out with a log line; periodic work schedules itself before it runs; handlers' exceptions are logged.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -64,6 +64,8 @@
 {
     const auto alive = this->shared_from_this(); // keep_alive_ may be the last reference
     const auto now = this->clock_.now();
+    // First, so that a failure does not end the ticks while the group is held.
+    this->schedule_tick();
     this->check_hold();
     if (this->rollout_ && !this->fenced_) {
         this->advance_rollout();
@@ -76,8 +78,15 @@
         this->next_poll_ = now + this->options_.poll_interval;
         this->poll_ranks();
     }
+}
+
+void group_balancer::schedule_tick()
+{
     this->context_.after(tick_interval, [weak = this->weak_from_this()] {
-        if (const auto self = weak.lock()) {
+        const auto self = weak.lock();
+        const bool has_ended =
+            !self || self->fenced_ || (self->stopped_ && self->rollout_ == nullptr);
+        if (!has_ended) {
             self->tick();
         }
     });
@@ -272,8 +281,7 @@
                                this->shape_.sets, policy::set_placement(this->shape_.ranks))};
     for (unsigned rank = 0; rank < this->ranks_.size(); ++rank) {
         const auto& experts = this->ranks_[rank].experts;
-        if (!experts || experts->version != state.map_version ||
-            experts->sets.size() != this->shape_.sets) {
+        if (!experts || experts->version != state.map_version || !this->fits_shape(*experts)) {
             return;
         }
         for (unsigned set = 0; set < this->shape_.sets; ++set) {
@@ -284,6 +292,22 @@
     this->current_epoch_ = state.epoch;
 }
 
+bool group_balancer::fits_shape(const held_experts& held) const
+{
+    const auto fits = [this](const std::vector<unsigned>& experts) {
+        return experts.size() <= this->shape_.max_experts_per_set &&
+               std::ranges::all_of(experts,
+                                   [this](unsigned it) { return it < this->shape_.experts; });
+    };
+    const bool is_fit =
+        held.sets.size() == this->shape_.sets && std::ranges::all_of(held.sets, fits);
+    if (!is_fit) {
+        this->log_.sample(log_level::warning, "experts of a rank do not fit its group",
+                          {{"group", this->name_}});
+    }
+    return is_fit;
+}
+
 void group_balancer::start_search(const policy::rank_report& state)
 {
     const bool has_enough_tokens = std::ranges::all_of(this->loads_, [this](const auto& set) {
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -122,6 +122,7 @@
     };
 
     void tick();
+    void schedule_tick();
     void poll_ranks();
     void on_poll_reply(unsigned rank, bool with_counts, const rank_reply& reply);
     void add_counts(rank_state& rank, const std::vector<std::uint64_t>& counts);
@@ -132,6 +133,8 @@
     /// Notes whether the group is held, and for how long it has been.
     void check_hold();
     void update_current(const policy::rank_report& state);
+    /// @return whether the experts that a rank reports are possible in this group
+    [[nodiscard]] bool fits_shape(const held_experts& held) const;
     void start_search(const policy::rank_report& state);
     void continue_search();
     void finish_search();
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -349,11 +349,12 @@
 
 void gateway_process::fetch_config(const std::string& control_address)
 {
-    if (std::exchange(this->is_fetching_config_, true)) {
+    if (this->is_fetching_config_) {
         return;
     }
     this->config_client_ =
         std::make_unique<transport::http_client>(this->context_, control_address);
+    this->is_fetching_config_ = true;
     this->config_client_->fetch(
         {"GET", "/config", {}, {}},
         {config_fetch_timeout, config_fetch_timeout, config_fetch_timeout, config_fetch_timeout,
@@ -370,12 +371,13 @@
 
 void gateway_process::tick()
 {
+    // First, so that a failure does not end the ticks.
+    this->context_.after(tick_interval, [this] { this->tick(); });
     if (this->registry_.expire(this->clock_.now())) {
         this->update_upstreams();
     }
     this->gateway_.tick();
     this->update_coordinator_role();
-    this->context_.after(tick_interval, [this] { this->tick(); });
 }
 
 bool gateway_process::is_ready() const
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "model/wire.pb.h"
+#include "transport/address_text.h"
 
 namespace medlaryoke::gateway {
 
@@ -12,6 +13,9 @@
 // Bounds the list of addresses, because received datagrams add to it and may be corrupt.
 constexpr std::size_t max_addresses = 1024;
 
+// Characters of an address that cannot be read which are written to the log.
+constexpr std::size_t max_logged_address = 40;
+
 std::string encode(const policy::peer_heartbeat& heartbeat,
                    const std::vector<std::string>& live_addresses)
 {
@@ -36,6 +40,15 @@
     return message.SerializeAsString();
 }
 
+/// @return whether the addresses of a peer can be used; the one for callers may be missing
+bool has_usable_addresses(const policy::peer_heartbeat& heartbeat)
+{
+    return transport::is_address_and_port(heartbeat.beat_address) &&
+           transport::is_address_and_port(heartbeat.control_address) &&
+           (heartbeat.caller_address.empty() ||
+            transport::is_address_and_port(heartbeat.caller_address));
+}
+
 policy::peer_heartbeat decode(const wire::gateway_beat& message)
 {
     policy::peer_heartbeat heartbeat;
@@ -82,8 +95,12 @@
 void peer_exchange::add_addresses(const std::vector<std::string>& addresses)
 {
     for (const auto& address : addresses) {
-        if (address != this->own_heartbeat_.beat_address &&
-            this->addresses_.size() < max_addresses) {
+        if (!transport::is_address_and_port(address)) {
+            this->log_.sample(log_level::warning, "address of a peer cannot be read",
+                              {{"address", address.substr(0, max_logged_address)}});
+        }
+        else if (address != this->own_heartbeat_.beat_address &&
+                 this->addresses_.size() < max_addresses) {
             this->addresses_.insert(address);
         }
     }
@@ -102,6 +119,10 @@
         return;
     }
     const auto heartbeat = decode(message);
+    if (!has_usable_addresses(heartbeat)) {
+        this->log_.sample(log_level::warning, "heartbeat without usable addresses", {});
+        return;
+    }
     this->add_addresses({heartbeat.beat_address});
     this->add_addresses({message.known_address().begin(), message.known_address().end()});
     if (this->table_.on_heartbeat(heartbeat, this->clock_.now())) {
@@ -138,8 +159,8 @@
                  this->options_.max_interval);
     this->context_.after(interval, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
+            self->schedule_heartbeat(); // first, so that a failure does not end the heartbeats
             self->send_heartbeat();
-            self->schedule_heartbeat();
         }
     });
 }
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -175,15 +175,19 @@
         this->on_stream_data(data);
         return;
     }
-    const bool is_too_long = it.body.size() + data.size() > max_response_bytes;
-    if (is_too_long || !this->dispatcher_->held_bytes().try_take(data.size())) {
+    const auto size = it.body.size() + data.size();
+    const bool is_too_long = size > max_response_bytes;
+    // The budget counts what the string occupies, not only what it is filled with.
+    const auto capacity = size <= it.held_bytes ? it.held_bytes : std::max(size, 2 * it.held_bytes);
+    if (is_too_long || !this->dispatcher_->held_bytes().try_take(capacity - it.held_bytes)) {
         this->end_and_exclude(policy::call_outcome::failed);
         this->on_attempt_failed(attempt_failure::unknown, is_too_long
                                                               ? "the response is too long"
                                                               : "responses hold too much memory");
         return;
     }
-    it.held_bytes += data.size();
+    it.held_bytes = capacity;
+    it.body.reserve(capacity);
     it.body += data;
 }
 
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -1,6 +1,7 @@
 #include "gateway/topic_follower.h"
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace medlaryoke::gateway {
@@ -71,13 +72,24 @@
     this->needs_listing_ = false;
     const bool first = !std::exchange(this->is_listed_, true);
     if (first || !changes.empty()) {
-        this->on_changes_(changes);
+        this->report_changes(changes);
     }
     const auto elapsed = std::chrono::steady_clock::now() - this->read_started_at_;
     this->start_read_after(
         std::max<duration>(this->options_.min_read_interval - elapsed, duration::zero()));
 }
 
+void topic_follower::report_changes(const std::vector<policy::keyed_record>& changes)
+{
+    try {
+        this->on_changes_(changes);
+    }
+    catch (const std::exception& e) {
+        this->log_.note(log_level::error, "changes cannot be used",
+                        {{"topic", this->options_.topic}, {"reason", e.what()}});
+    }
+}
+
 void topic_follower::on_failure(const std::string& reason)
 {
     this->set_available(false, reason);
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -59,6 +59,8 @@
 private:
     void start_read();
     void on_result(std::uint64_t read_id, const keyed_result& result);
+    /// Passes changes on. Reading goes on if they cannot be used.
+    void report_changes(const std::vector<policy::keyed_record>& changes);
     void on_failure(const std::string& reason);
     void set_available(bool available, const std::string& reason);
     void start_read_after(duration delay);
--- a/Source/transport/runtime.cxx
+++ b/Source/transport/runtime.cxx
@@ -109,7 +109,7 @@
 void runtime::start()
 {
     for (unsigned n = 0; n < this->impl_->thread_count; ++n) {
-        this->impl_->threads.emplace_back([this] { this->impl_->context.run(); });
+        this->impl_->threads.emplace_back([this] { this->impl_->run_until_stopped(); });
     }
 }
 
--- a/Source/transport/runtime_implementation.h
+++ b/Source/transport/runtime_implementation.h
@@ -3,6 +3,7 @@
 #include "transport/asio_prelude.h"
 
 #include <condition_variable>
+#include <exception>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -27,6 +28,19 @@
     {
     }
 
+    /// Runs handlers until the context is stopped. A handler that throws does not end the process.
+    void run_until_stopped()
+    {
+        while (!this->context.stopped()) {
+            try {
+                this->context.run();
+            }
+            catch (const std::exception& e) {
+                this->log.error("A handler failed: {}.", e.what());
+            }
+        }
+    }
+
     // Declared first and so destroyed last: its destructor waits for the sockets that the pending
     // handlers in the Asio context still hold.
     std::shared_ptr<void> zmq_context; ///< the ZeroMQ context, created on first use
--- a/Tests/gateway/test_topic_follower.cxx
+++ b/Tests/gateway/test_topic_follower.cxx
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,9 @@
             [this](const std::vector<policy::keyed_record>& records) {
                 const std::scoped_lock lock(mutex);
                 for (const auto& it : records) {
+                    if (it.key == "poison") {
+                        throw std::runtime_error("this change cannot be used");
+                    }
                     changes.push_back(it.key + "=" + it.value);
                 }
             },
@@ -107,3 +111,15 @@
     const std::scoped_lock lock(topic.mutex);
     cr_assert(topic.changes == std::vector<std::string>({"a=1"}));
 }
+
+// Guards against a process that follows the store no more after one change that it cannot use.
+Test(topic_follower, goes_on_after_a_change_that_cannot_be_used)
+{
+    followed_topic topic;
+    topic.answer("list", keyed_records{{{"a", "1", 0}}, 1});
+    topic.answer("read", keyed_records{{{"poison", "1", 1}}, 2});
+    cr_assert(topic.answer("read", keyed_records{{{"b", "2", 2}}, 3}).from == 2);
+    cr_assert(topic.store.next().from == 3);
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1", "b=2"}));
+}
--- a/Tests/platform/test_records.cxx
+++ b/Tests/platform/test_records.cxx
@@ -1,10 +1,13 @@
+#include <random>
 #include <string>
+#include <string_view>
 
 #include <criterion/criterion.h>
 
 #include "base/error.h"
 #include "platform/caller_directory.h"
 #include "platform/configuration_record.h"
+#include "platform/lockstep_http_engine.h"
 #include "platform/node_settings.h"
 #include "platform/upstream_record.h"
 
@@ -119,7 +122,17 @@
          {"", "\xff\x00", "[]", "{}", R"({"service":"a"})",
           R"({"service":1,"address":"a:1","zone":"z","slots":1,"state":"ready"})",
           R"({"service":"a","address":"a:1","zone":"z","slots":1,"state":"asleep"})",
-          R"({"service":"a","address":"a:1","zone":"z","slots":"x","state":"ready"})"}) {
+          R"({"service":"a","address":"a:1","zone":"z","slots":"x","state":"ready"})",
+          R"({"service":"a","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1","zone":"z","slots":1,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:99999","zone":"z","slots":1,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":-1,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":0,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1.5,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":true,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1e30,"state":"ready"})",
+          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1,"state":"ready",
+              "group":{"name":"g","rank":0},"size":4294967295})"}) {
         cr_assert(!decode_upstream("i-2", bad, 1), "%s", bad.c_str());
     }
 }
@@ -133,3 +146,67 @@
     cr_assert(answer.body == R"({"addresses":["10.1.0.4:1"],"ttlS":2})");
     cr_assert(make_directory_response({"GET", "/other", {}, {}}, {}).head.status == 404);
 }
+
+// Guards against a process that ends, or runs out of stack, on an entry of another writer that is
+// nested without end.
+Test(platform_records, deeply_nested_entries)
+{
+    constexpr std::size_t depth = 1'000'000;
+    const auto nested = std::string(depth, '[') + std::string(depth, ']');
+    for (const std::string field : {"state", "slots", "group", "new"}) {
+        const auto text =
+            R"({"service":"a","address":"10.4.0.1:80","zone":"z",")" + field + "\":" + nested + "}";
+        cr_assert(!decode_upstream("i-1", text, 7340));
+    }
+    cr_assert_throw(decode_configuration(R"({"version":1,"routes":)" + nested + "}"), error);
+    cr_assert_throw(decode_rank_report(R"({"step":1,"group":)" + nested + "}"), error);
+}
+
+// Guards against damaged records that end the process: each either can be read or is reported.
+Test(platform_records, damaged_records_are_reported)
+{
+    const std::string entry_text =
+        R"({"service":"a","address":"10.4.0.1:80","zone":"dc-b","slots":12,"state":"ready","born":5,)"
+        R"("group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":16})";
+    const std::string report_text =
+        R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"step":812,"map":3,)"
+        R"("prepared":{"version":4},"armed":null,"held":900,"pace":1.5})";
+    std::mt19937 random(1);
+    const auto damage = [&random](std::string text) {
+        for (unsigned n = random() % 4 + 1; n > 0; --n) {
+            constexpr std::string_view characters = "{}[]\":,.-0e9 tn\\\x80";
+            const auto at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = characters[random() % characters.size()];
+                break;
+            case 1:
+                text.erase(at, random() % 5);
+                break;
+            default:
+                text.insert(at, 1, characters[random() % characters.size()]);
+                break;
+            }
+            text += text.empty() ? " " : "";
+        }
+        return text;
+    };
+    const auto try_decode = [](auto decode) {
+        try {
+            decode();
+        }
+        catch (const error& e) {
+            cr_assert(!std::string_view(e.what()).empty());
+        }
+    };
+    for (unsigned n = 0; n < 30'000; ++n) {
+        const auto entry = damage(entry_text);
+        const auto report = damage(report_text);
+        const auto config = damage(config_text);
+        const auto settings = damage(settings_text);
+        try_decode([&entry] { decode_upstream("i-1", entry, 7340); });
+        try_decode([&report] { decode_rank_report(report); });
+        try_decode([&config] { decode_configuration(config); });
+        try_decode([&settings] { decode_node_settings(settings, 0); });
+    }
+}
