base: Count the time of a suspended machine; play a planned stop under load

Cause: the clock of all leases, deadlines and detectors was the steady one, which stands still while a machine is suspended. A process that woke up took a lease, a request's deadline or its peers' heartbeats for as fresh as before. Ruled out: timers (they only fire later; each decision reads the clock again). Change: CLOCK_BOOTTIME. Also a test of a planned stop: 24 callers on kept connections, SIGTERM, none cut off.

--- a/Source/base/clock.cxx
+++ b/Source/base/clock.cxx
@@ -1,10 +1,16 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace medlaryoke {
 
 time_point system_clock_source::now() const
 {
-    return std::chrono::steady_clock::now();
+    // Unlike the steady clock, this one counts the time for which the machine was suspended. A
+    // lease or a deadline that ran out meanwhile has run out.
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 time_point manual_clock::now() const
--- a/Source/base/clock.h
+++ b/Source/base/clock.h
@@ -22,7 +22,8 @@
     [[nodiscard]] virtual time_point now() const = 0;
 };
 
-/// Reads the monotonic clock of the operating system.
+/// Reads the monotonic clock of the operating system that also counts the time for which the
+/// machine was suspended.
 class system_clock_source final : public clock_source {
 public:
     [[nodiscard]] time_point now() const override;
--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -1,9 +1,13 @@
+#include <algorithm>
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <sstream>
 #include <string>
+#include <string_view>
+#include <system_error>
 #include <thread>
 #include <vector>
 
@@ -16,6 +20,7 @@
 #include <unistd.h>
 
 #include "fakes/product_program.h"
+#include "fakes/raw_socket.h"
 #include "Soak/gateway_child.h"
 #include "Soak/soak_caller.h"
 #include "Soak/soak_store.h"
@@ -92,6 +97,20 @@
     gateway_child gateway;
 };
 
+std::string request_text(const std::string& id)
+{
+    return "GET /safe/x HTTP/1.1\r\nHost: desk.example\r\nMedlaryoke-Request-Id: " + id +
+           "\r\n\r\n";
+}
+
+/// @return value of the Content-Length field, 0 if there is none
+std::size_t content_length(const std::string& head)
+{
+    constexpr std::string_view name = "Content-Length: ";
+    const auto at = head.find(name);
+    return at == std::string::npos ? 0 : std::stoul(head.substr(at + name.size()));
+}
+
 } // namespace
 
 // Guards against a failed request whose cause is missing from the log. docs/OPERATIONS.md describes
@@ -167,6 +186,63 @@
     ::close(pipe_ends[1]);
 }
 
+// Guards against requests that were accepted just before a planned stop, or during it, and are cut
+// off without an answer. Callers keep their connections busy until the gateway closes them.
+Test(gateway_process, planned_stop_under_load_answers_what_it_accepted)
+{
+    constexpr unsigned caller_count = 24;
+    constexpr auto time_before_stop = 500ms;
+    // A request that crosses the close of its connection is not counted.
+    constexpr auto crossing_time = 200ms;
+    single_gateway_site site;
+    site.upstream.work_ms = 40;
+    std::atomic<unsigned> answered = 0;
+    std::atomic<unsigned> cut = 0;
+    std::atomic<bool> stopping = false;
+    std::vector<std::thread> callers;
+    for (unsigned index = 0; index < caller_count; ++index) {
+        callers.emplace_back([&site, &answered, &cut, &stopping, crossing_time, index] {
+            for (unsigned n = 0; !stopping; ++n) {
+                try {
+                    const fakes::raw_connection connection(site.gateway.caller_address());
+                    bool is_open = true;
+                    for (unsigned number = 0; is_open; ++number) {
+                        connection.send(request_text(fmt::format("p-{}-{}-{}", index, n, number)));
+                        const auto sent_at = std::chrono::steady_clock::now();
+                        const auto head = connection.read_until("\r\n\r\n");
+                        const auto length = content_length(head);
+                        const auto body = connection.read_bytes(length);
+                        const bool is_complete = !head.empty() && body.size() == length;
+                        const bool is_late =
+                            std::chrono::steady_clock::now() - sent_at > crossing_time;
+                        answered += is_complete ? 1 : 0;
+                        cut += !is_complete && (!head.empty() || is_late) ? 1 : 0;
+                        is_open =
+                            is_complete && head.find("Connection: close") == std::string::npos;
+                    }
+                }
+                catch (const std::system_error&) {
+                    // The gateway no longer listens, or closed the connection before the request.
+                    std::this_thread::sleep_for(5ms);
+                }
+            }
+        });
+    }
+    std::this_thread::sleep_for(time_before_stop);
+    const auto answered_before = answered.load();
+    site.gateway.send_signal(SIGTERM);
+    std::optional<int> status;
+    for (int n = 0; n < 1000 && !status; ++n) {
+        std::this_thread::sleep_for(10ms);
+        status = site.gateway.poll_exit_status();
+    }
+    stopping = true;
+    std::ranges::for_each(callers, [](std::thread& it) { it.join(); });
+    cr_assert(status.has_value() && WIFEXITED(*status) && WEXITSTATUS(*status) == 0);
+    cr_assert(answered_before > caller_count && answered > answered_before);
+    cr_assert(cut == 0, "%u of %u requests were cut off", cut.load(), cut + answered);
+}
+
 // Guards against a reload that ends a process during startup, when SIGHUP arrives before its
 // handler is installed.
 Test(gateway_process, reload_during_startup_does_not_end_process)
--- a/Tests/fakes/raw_socket.cxx
+++ b/Tests/fakes/raw_socket.cxx
@@ -77,6 +77,16 @@
     return text;
 }
 
+std::string raw_connection::read_bytes(std::size_t count) const
+{
+    std::string text;
+    char byte = 0;
+    while (text.size() < count && recv(this->descriptor_, &byte, 1, 0) > 0) {
+        text += byte;
+    }
+    return text;
+}
+
 std::string raw_connection::read_all() const
 {
     std::string text;
--- a/Tests/fakes/raw_socket.h
+++ b/Tests/fakes/raw_socket.h
@@ -40,6 +40,10 @@
     /// @return the bytes, with the marker if it came
     [[nodiscard]] std::string read_until(std::string_view marker) const;
 
+    /// Reads a number of bytes, or fewer if the connection ends.
+    /// @return the bytes
+    [[nodiscard]] std::string read_bytes(std::size_t count) const;
+
     /// Reads until the connection ends.
     /// @return the bytes
     [[nodiscard]] std::string read_all() const;
