experts: Let a stopped balancer end after its last switch

Change: each tick first ends a balancer that has nothing left to do. The test of a switch that is finished after the stop now also waits until the balancer is gone.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -63,33 +63,25 @@
 void group_balancer::tick()
 {
     const auto alive = this->shared_from_this(); // keep_alive_ may be the last reference
-    const auto now = this->clock_.now();
-    // First, so that a failure does not end the ticks while the group is held.
-    this->schedule_tick();
-    this->check_hold();
-    if (this->rollout_ && !this->fenced_) {
-        this->advance_rollout();
-    }
     if (this->fenced_ || (this->stopped_ && !this->rollout_)) {
         this->keep_alive_.reset();
         return;
     }
-    if (!this->rollout_ && now >= this->next_poll_) {
-        this->next_poll_ = now + this->options_.poll_interval;
-        this->poll_ranks();
-    }
-}
-
-void group_balancer::schedule_tick()
-{
+    // Before the work, so that a failure does not end the ticks while the group is held.
     this->context_.after(tick_interval, [weak = this->weak_from_this()] {
-        const auto self = weak.lock();
-        const bool has_ended =
-            !self || self->fenced_ || (self->stopped_ && self->rollout_ == nullptr);
-        if (!has_ended) {
+        if (const auto self = weak.lock()) {
             self->tick();
         }
     });
+    const auto now = this->clock_.now();
+    this->check_hold();
+    if (this->rollout_) {
+        this->advance_rollout();
+    }
+    else if (now >= this->next_poll_) {
+        this->next_poll_ = now + this->options_.poll_interval;
+        this->poll_ranks();
+    }
 }
 
 void group_balancer::poll_ranks()
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -122,7 +122,6 @@
     };
 
     void tick();
-    void schedule_tick();
     void poll_ranks();
     void on_poll_reply(unsigned rank, bool with_counts, const rank_reply& reply);
     void add_counts(rank_state& rank, const std::vector<std::uint64_t>& counts);
--- a/Tests/experts/test_group_balancer.cxx
+++ b/Tests/experts/test_group_balancer.cxx
@@ -218,6 +218,7 @@
     balanced_group_fixture fixture;
     auto& group = fixture.group;
     cr_assert(balanced_group_fixture::wait_until([&group] { return group.is_held(); }));
+    const std::weak_ptr<group_balancer> stopped = fixture.balancer;
     fixture.context.post([&fixture] {
         fixture.balancer->stop();
         fixture.balancer.reset();
@@ -232,6 +233,8 @@
     }
     cr_assert(map != 0 && group.ranks[1].map == map);
     cr_assert(!group.is_held());
+    // It keeps itself alive only until the switch has ended.
+    cr_assert(balanced_group_fixture::wait_until([&stopped] { return stopped.expired(); }));
 }
 
 // Guards against a map that fits only the requests of the first rank to answer: the search started
