--- a/Tests/gateway/test_gateway.cxx
+++ b/Tests/gateway/test_gateway.cxx
@@ -286,6 +286,7 @@
     std::atomic<bool> stopping = false;
     std::atomic<unsigned> open = 0;
     std::vector<std::thread> upstreams;
+    upstreams.reserve(upstream_count);
     const auto before = fakes::resident_bytes();
     for (const auto& listener : fixture.upstreams) {
         upstreams.emplace_back([&stopping, &open, &listener] {
--- a/Tests/platform/test_records.cxx
+++ b/Tests/platform/test_records.cxx
@@ -154,8 +154,8 @@
     constexpr std::size_t depth = 1'000'000;
     const auto nested = std::string(depth, '[') + std::string(depth, ']');
     for (const std::string field : {"state", "slots", "group", "new"}) {
-        const auto text =
-            R"({"service":"a","address":"10.4.0.1:80","zone":"z",")" + field + "\":" + nested + "}";
+        auto text = std::string(R"({"service":"a","address":"10.4.0.1:80","zone":"z",")");
+        text.append(field).append("\":").append(nested).append("}");
         cr_assert(!decode_upstream("i-1", text, 7340));
     }
     cr_assert_throw(decode_configuration(R"({"version":1,"routes":)" + nested + "}"), error);
