gateway: Log which prompts were at an upstream when it ended

Change: the parts of the prompt are read by a filter and written with each failed attempt; an upstream that closes a connection before it has written two events is asked for a new connection, and the line 'upstream ended' names the parts of the requests that were unanswered there; metric upstreams_ended. No decision depends on it yet. Checks: gateway and transport tests pass.

--- a/Source/gateway/caller_protocol.h
+++ b/Source/gateway/caller_protocol.h
@@ -12,7 +12,11 @@
     std::string organisation;      ///< organisation that owns the API key; set by the gateway
     std::string expected_upstream; ///< id of the addressed upstream; other upstreams refuse
     std::string priority;          ///< 0 to 9, 0 is the most urgent; set on stream requests
-    std::string token_usage;   ///< prompt tokens and maximum output tokens, separated by a comma
+    std::string token_usage; ///< prompt tokens and maximum output tokens, separated by a comma
+    /// Parts of the prompt in order, as comma-separated ID:TOKENS entries; requests share all parts
+    /// but the last.
+    std::string prompt_parts;
+    std::string model;         ///< name of the model
     std::string signature;     ///< present in each response that an upstream generated
     std::string not_run;       ///< present if the upstream did not run the request
     std::string last_event_id; ///< id of the last event received; resumes a stream after it
--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -23,7 +23,10 @@
 gateway::gateway(transport::runtime& context, const clock_source& clock, gateway_options options,
                  const config_state& config)
     : context_(context), clock_(clock), options_(std::move(options)), config_(config),
-      filters_(options_.protocol), random_(options_.seed)
+      filters_(options_.protocol),
+      crashes_(context, clock,
+               [this](const policy::upstream_crash&) { this->metrics_.count("upstreams_ended"); }),
+      random_(options_.seed)
 {
 }
 
@@ -144,7 +147,7 @@
     if (!dispatcher) {
         dispatcher = std::make_shared<service_dispatcher>(
             this->context_, this->clock_, this->options_.protocol, this->metrics_,
-            this->held_bytes_, name, hash64(name, this->options_.seed));
+            this->held_bytes_, this->crashes_, name, hash64(name, this->options_.seed));
         dispatcher->set_retry_budget(this->options_.retry_budget, this->gateway_count_);
         dispatcher->set_remote_load(this->remote_load_);
         if (this->config_.active().config) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "base/event_log.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/config_state.h"
+#include "gateway/crash_detector.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/request_filters.h"
 #include "gateway/service_dispatcher.h"
@@ -90,6 +91,7 @@
     request_filters filters_;
     gateway_metrics metrics_;
     policy::byte_budget held_bytes_{options_.max_held_response_bytes};
+    crash_detector crashes_;
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "base/error.h"
 #include "transport/error_response.h"
@@ -194,6 +195,7 @@
 void proxied_request::on_stream_data(const std::string& data)
 {
     auto& it = *this->attempt_;
+    const auto earlier_events = this->splitter_.event_count();
     auto complete_events = this->splitter_.add(data);
     if (complete_events.empty()) {
         if (this->splitter_.partial_size() > max_event_bytes) {
@@ -208,7 +210,7 @@
         this->dispatcher_->metrics().observe("first_event", {}, this->first_event_latency_);
         this->response_->start(without_connection_headers(it.head));
     }
-    if (std::exchange(it.received_event, true)) {
+    if (it.event_count > 0) {
         this->longest_event_gap_ =
             std::max<duration>(this->longest_event_gap_, now - it.last_received_at);
         this->dispatcher_->on_event_gap(now - it.last_received_at);
@@ -218,6 +220,7 @@
         this->dispatcher_->on_attempt_result(it.target.key, policy::call_outcome::succeeded,
                                              now - it.sent_at);
     }
+    it.event_count += this->splitter_.event_count() - earlier_events;
     it.last_received_at = now;
     if (this->response_->write(std::move(complete_events)) > max_unsent_bytes) {
         this->abort_stream("the caller reads too slowly");
@@ -237,6 +240,7 @@
 void proxied_request::on_stream_end()
 {
     if (!this->stream_started_ || this->splitter_.has_partial_event()) {
+        this->check_upstream();
         this->end_and_exclude(policy::call_outcome::failed);
         this->on_attempt_failed(attempt_failure::unknown,
                                 "the stream ended in the middle of an event");
@@ -284,10 +288,30 @@
 void proxied_request::on_failure(const transport::http_failure& failure)
 {
     const auto result = failure.maybe_sent ? attempt_failure::unknown : attempt_failure::not_sent;
+    if (failure.end == transport::exchange_end::connection_closed) {
+        this->check_upstream();
+    }
     this->end_and_exclude(policy::call_outcome::failed);
     this->on_attempt_failed(result, failure.message);
 }
 
+bool proxied_request::has_written_answer() const
+{
+    // An upstream that fails on what a request holds may still send the first event.
+    constexpr std::size_t min_events = 2;
+    return this->attempt_ && this->attempt_->event_count >= min_events;
+}
+
+void proxied_request::check_upstream()
+{
+    if (this->details_.shared_parts.empty() || this->has_written_answer()) {
+        return;
+    }
+    const auto& it = *this->attempt_;
+    this->dispatcher_->crashes().check(it.target.incarnation, it.target.address,
+                                       {it.sent_at, this->details_.shared_parts}, [](bool) {});
+}
+
 void proxied_request::end_and_exclude(policy::call_outcome outcome)
 {
     this->excluded_upstreams_.push_back(this->attempt_->target.key);
@@ -301,7 +325,7 @@
     this->dispatcher_->held_bytes().give_back(ended->held_bytes);
     this->dispatcher_->on_attempt_result(ended->target.key, outcome, latency);
     this->dispatcher_->on_attempt_ended(ended->target.key,
-                                        ended->received_event ? 0 : this->details_.prompt_tokens);
+                                        ended->event_count > 0 ? 0 : this->details_.prompt_tokens);
 }
 
 void proxied_request::on_attempt_failed(attempt_failure failure, std::string reason)
@@ -316,6 +340,7 @@
                        {"run", failure == attempt_failure::unknown ? "unknown" : "no"},
                        {"events", static_cast<std::int64_t>(this->splitter_.event_count())},
                        {"left_ms", to_milliseconds(this->details_.deadline - now)},
+                       {"parts", fmt::format("{}", fmt::join(this->details_.shared_parts, " "))},
                        {"reason", reason}});
     this->last_failure_reason_ = std::move(reason);
     this->splitter_.drop_partial_event();
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -64,7 +64,7 @@
         time_point sent_at{};
         time_point last_received_at{}; ///< when the head or the last event came
         bool is_streamed = false;      ///< the body is forwarded event by event
-        bool received_event = false;   ///< at least one complete event was received
+        std::size_t event_count = 0;   ///< complete events that were received
     };
 
     /// @return the request as sent to an upstream, with its deadline, priority and last event id
@@ -83,6 +83,13 @@
     void on_stream_end();
     void on_complete_response();
 
+    /// @return whether the upstream has written more than the beginning of an answer
+    [[nodiscard]] bool has_written_answer() const;
+
+    /// Finds out whether the upstream of the attempt has ended, if it closed the connection before
+    /// it wrote an answer.
+    void check_upstream();
+
     /// Ends the attempt and excludes its upstream from later attempts.
     void end_and_exclude(policy::call_outcome outcome);
 
--- a/Source/gateway/request_filters.cxx
+++ b/Source/gateway/request_filters.cxx
@@ -9,6 +9,7 @@
 
 #include <fmt/format.h>
 
+#include "base/digest.h"
 #include "transport/header_names.h"
 
 namespace medlaryoke::gateway {
@@ -19,6 +20,11 @@
 // one.
 constexpr unsigned default_organisation_priority = 1;
 
+// Further parts of a prompt are ignored, and longer names are replaced by a digest, so that a
+// caller cannot fill the memory of the gateways.
+constexpr std::size_t max_shared_parts = 16;
+constexpr std::size_t max_part_name = 64;
+
 /// @return the key of an `Authorization: Bearer` header, empty if there is none
 std::string_view bearer_token(std::string_view value)
 {
@@ -49,6 +55,7 @@
     authenticate(request);
     this->set_deadline(request);
     this->read_prompt_tokens(request);
+    this->read_shared_parts(request);
     this->remove_internal_headers(request);
     return request;
 }
@@ -112,6 +119,26 @@
     }
 }
 
+void request_filters::read_shared_parts(routed_request& request) const
+{
+    const auto& headers = request.message.headers;
+    const auto text = transport::find_header(headers, this->protocol_.prompt_parts);
+    const auto model = transport::find_header(headers, this->protocol_.model);
+    // The last part belongs to this request alone.
+    for (std::size_t at = 0, comma = text.find(','); comma != std::string_view::npos;
+         at = comma + 1, comma = text.find(',', at)) {
+        const auto entry = text.substr(at, comma - at);
+        auto name = fmt::format("{}/{}", model, entry.substr(0, entry.find(':')));
+        if (request.shared_parts.size() == max_shared_parts) {
+            return;
+        }
+        if (name.size() > max_part_name) {
+            name = fmt::format("{:016x}", hash64(name));
+        }
+        request.shared_parts.push_back(std::move(name));
+    }
+}
+
 void request_filters::remove_internal_headers(routed_request& request) const
 {
     auto& headers = request.message.headers;
--- a/Source/gateway/request_filters.h
+++ b/Source/gateway/request_filters.h
@@ -40,6 +40,7 @@
     static void authenticate(routed_request& request);
     void set_deadline(routed_request& request) const;
     void read_prompt_tokens(routed_request& request) const;
+    void read_shared_parts(routed_request& request) const;
     void remove_internal_headers(routed_request& request) const;
 
     const caller_protocol& protocol_;
--- a/Source/gateway/routed_request.h
+++ b/Source/gateway/routed_request.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "model/route_config.h"
@@ -21,6 +22,8 @@
     unsigned organisation_priority = 0; ///< compared before the priority; 0 is the most urgent
     unsigned priority = 0;              ///< priority of the route; 0 is the most urgent
     double prompt_tokens = 0;           ///< 0: unknown, or not a generation request
+    /// Parts of the prompt that other requests may share, as MODEL/ID.
+    std::vector<std::string> shared_parts;
     time_point arrived{};
     time_point deadline{}; ///< the earlier of the caller's deadline and the route's timeout
     transport::http_request message; ///< without hop-by-hop headers and the API key
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -21,10 +21,10 @@
 
 service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
                                        const caller_protocol& protocol, gateway_metrics& metrics,
-                                       policy::byte_budget& held_bytes, std::string name,
-                                       std::uint64_t seed)
+                                       policy::byte_budget& held_bytes, crash_detector& crashes,
+                                       std::string name, std::uint64_t seed)
     : context_(context), clock_(clock), protocol_(protocol), metrics_(metrics),
-      held_bytes_(held_bytes), name_(std::move(name)), scheduler_({}, seed),
+      held_bytes_(held_bytes), crashes_(crashes), name_(std::move(name)), scheduler_({}, seed),
       wait_policy_({}, seed + 1)
 {
 }
@@ -170,7 +170,10 @@
             const auto request = std::move(found->second);
             this->waiting_.erase(found);
             const auto& upstream = this->upstreams_.at(key);
-            request->on_assigned({key, upstream.entry.id, upstream.client});
+            const auto incarnation =
+                hash64(upstream.entry.id, static_cast<std::uint64_t>(upstream.entry.started_at));
+            request->on_assigned(
+                {key, incarnation, upstream.entry.id, upstream.entry.address, upstream.client});
         }
     }
     this->dispatching_ = false;
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "gateway/caller_protocol.h"
+#include "gateway/crash_detector.h"
 #include "gateway/gateway_metrics.h"
 #include "model/route_config.h"
 #include "model/upstream_entry.h"
@@ -28,8 +29,10 @@
 
 /// The upstream that an attempt is sent to.
 struct upstream_target {
-    std::uint64_t key = 0; ///< hash of the id
+    std::uint64_t key = 0;         ///< hash of the id
+    std::uint64_t incarnation = 0; ///< hash of the id and the start time
     std::string id;
+    std::string address;
     std::shared_ptr<transport::http_client> client;
 };
 
@@ -38,7 +41,8 @@
 public:
     service_dispatcher(transport::runtime& context, const clock_source& clock,
                        const caller_protocol& protocol, gateway_metrics& metrics,
-                       policy::byte_budget& held_bytes, std::string name, std::uint64_t seed);
+                       policy::byte_budget& held_bytes, crash_detector& crashes, std::string name,
+                       std::uint64_t seed);
 
     /// Replaces the upstreams of the service.
     void set_upstreams(const std::vector<model::upstream_entry>& upstreams,
@@ -104,6 +108,7 @@
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
     /// @return budget of the responses that this gateway holds
     [[nodiscard]] policy::byte_budget& held_bytes() { return this->held_bytes_; }
+    [[nodiscard]] crash_detector& crashes() { return this->crashes_; }
     [[nodiscard]] policy::waiting_policy& wait_policy() { return this->wait_policy_; }
     [[nodiscard]] const policy::upstream_scheduler& scheduler() const { return this->scheduler_; }
     [[nodiscard]] const policy::step_time_limit& step_limit() const { return this->step_limit_; }
@@ -123,6 +128,7 @@
     const caller_protocol& protocol_;
     gateway_metrics& metrics_;
     policy::byte_budget& held_bytes_;
+    crash_detector& crashes_;
     std::string name_;
     policy::upstream_scheduler scheduler_;
     policy::waiting_policy wait_policy_;
--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -248,7 +248,8 @@
     void read_body();
     void on_body_read(const error_code& ec);
     void complete_reply();
-    void fail(error_kind kind, const std::string& what);
+    void fail(error_kind kind, const std::string& what, exchange_end end = exchange_end::other);
+    void fail_reading(const error_code& ec);
     void on_timeout();
     void start_timeout(duration timeout, std::string_view activity);
     void close_idle_connections();
@@ -372,17 +373,26 @@
     this->close();
 }
 
-void client_connection::fail(error_kind kind, const std::string& what)
+void client_connection::fail(error_kind kind, const std::string& what, exchange_end end)
 {
     const auto exchange = this->exchange_;
     const auto maybe_sent = this->maybe_sent_;
     this->abort();
     if (exchange) {
         exchange->deliver_failure(
-            {kind, fmt::format("{}: {}", this->pool_->address, what), maybe_sent});
+            {kind, fmt::format("{}: {}", this->pool_->address, what), maybe_sent, end});
     }
 }
 
+void client_connection::fail_reading(const error_code& ec)
+{
+    const bool is_closed = ec == asio::error::eof || ec == asio::error::connection_reset ||
+                           ec == asio::error::broken_pipe || ec == http::error::end_of_stream ||
+                           ec == http::error::partial_message;
+    this->fail(error_kind::unavailable, "cannot read the reply: " + ec.message(),
+               is_closed ? exchange_end::connection_closed : exchange_end::other);
+}
+
 bool client_connection::is_stale()
 {
     // An idle connection that is readable was closed by the server or received an unexpected reply.
@@ -445,7 +455,9 @@
                 return;
             }
             if (ec) {
-                self->fail(error_kind::unavailable, "cannot connect: " + ec.message());
+                self->fail(error_kind::unavailable, "cannot connect: " + ec.message(),
+                           ec == asio::error::connection_refused ? exchange_end::connection_refused
+                                                                 : exchange_end::other);
                 return;
             }
             error_code ignored;
@@ -542,7 +554,7 @@
         return;
     }
     if (ec) {
-        this->fail(error_kind::unavailable, "cannot read the reply: " + ec.message());
+        this->fail_reading(ec);
         return;
     }
     const auto& message = this->parser_->get();
@@ -602,7 +614,7 @@
         this->exchange_->deliver_data(std::string(this->body_buffer_.data(), n));
     }
     if (ec && ec != http::error::need_buffer) {
-        this->fail(error_kind::unavailable, "cannot read the reply: " + ec.message());
+        this->fail_reading(ec);
         return;
     }
     if (this->parser_->is_done()) {
--- a/Source/transport/http_client.h
+++ b/Source/transport/http_client.h
@@ -30,11 +30,19 @@
 /// Default limit of a reply that is collected as a whole.
 constexpr std::size_t default_max_reply_bytes = 64U * 1024U * 1024U;
 
+/// How the other side ended an exchange.
+enum class exchange_end {
+    other,
+    connection_refused, ///< nothing listens at the address
+    connection_closed,  ///< the server closed or reset the connection before the reply was complete
+};
+
 /// Reports why an exchange ended without a whole reply.
 struct http_failure {
     error_kind kind = error_kind::unavailable;
     std::string message;
     bool maybe_sent = true; ///< false only if no byte of the request left this process
+    exchange_end end = exchange_end::other;
 };
 
 /// Callbacks of an exchange. They are called in order on worker threads; exactly one of on_end and
--- a/Tests/gateway/gateway_fixture.cxx
+++ b/Tests/gateway/gateway_fixture.cxx
@@ -19,6 +19,8 @@
     names.expected_upstream = "X-Upstream";
     names.priority = "X-Priority";
     names.token_usage = "X-Tokens";
+    names.prompt_parts = "X-Parts";
+    names.model = "X-Model";
     names.signature = "X-Signature";
     names.not_run = "X-Not-Run";
     names.last_event_id = "Last-Event-Id";
