gateway, policy: Quarantine a part of prompts that ends upstreams

Callers saw: streams that broke off or were refused for tens of seconds, because requests with one part in their prompts ended one engine after the other (BUDGET, 9 engines in the incident), and each end stops the whole lock-step group. Cause: a broken answer was taken for a fault of the upstream only. The request was repeated at the next upstream, nothing was remembered of what it held, and each gateway was on its own. Class: a query of death, with a failure detector that looks at servers and never at requests. Ruled out: that repeats alone do it (the ids before each end differ, the repeat meets 503 while the group is down); that engines end by themselves or by orders (each end followed a request with a head and no event by 0.04 to 0.1 s; the own test ends upstreams by content alone and behaves alike). Change: an upstream that closes a connection before it has written two events is asked for a new one. If it refuses, it has ended, and the parts of the prompts that it had not answered are suspects. A part with two separate crashes and no answer in between is refused for 10 minutes; of the parts that explain most crashes the one with the fewest requests is taken. Gateways exchange crashes, answers and quarantines in their heartbeats. A suspicious request is not repeated, and waiting and unanswered requests end when their part is quarantined. The ended upstream is avoided for a second.

--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -18,14 +18,19 @@
 // than 1 s.
 constexpr auto unready_retry_after = std::chrono::milliseconds(300);
 
+error make_quarantine_error()
+{
+    return {error_kind::not_run, "a part of the prompt has ended several upstreams",
+            "Send the request without that part, or after the time in Retry-After."};
+}
+
 } // namespace
 
 gateway::gateway(transport::runtime& context, const clock_source& clock, gateway_options options,
                  const config_state& config)
     : context_(context), clock_(clock), options_(std::move(options)), config_(config),
       filters_(options_.protocol),
-      crashes_(context, clock,
-               [this](const policy::upstream_crash&) { this->metrics_.count("upstreams_ended"); }),
+      guard_(context, clock, metrics_, [this](const auto&) { this->end_quarantined_requests(); }),
       random_(options_.seed)
 {
 }
@@ -41,6 +46,11 @@
                         "Retry the request at another gateway.");
         }
         auto request = this->filters_.apply(message, this->config_.active(), this->clock_.now());
+        this->guard_.on_request(request.shared_parts);
+        if (const auto left = this->guard_.refused_for(request.shared_parts)) {
+            this->refuse(message, make_quarantine_error(), *left, response);
+            return;
+        }
         request.number = ++this->last_request_number_;
         const auto dispatcher = this->dispatcher_for(this->choose_service(*request.route));
         const auto number = request.number;
@@ -51,11 +61,19 @@
         proxied->start();
     }
     catch (const error& e) {
-        this->refuse(message, e, response);
+        this->refuse(message, e, unready_retry_after, response);
+    }
+}
+
+void gateway::end_quarantined_requests()
+{
+    for (const auto& request : this->all_requests()) {
+        request->end_if_quarantined();
     }
 }
 
 void gateway::refuse(const transport::http_request& message, const error& failure,
+                     duration retry_after,
                      const std::shared_ptr<transport::response_stream>& response)
 {
     this->metrics_.count("requests_refused", fmt::format("kind=\"{}\"", to_string(failure.kind())));
@@ -67,8 +85,8 @@
          {"config", static_cast<std::int64_t>(this->config_.version())},
          {"reason", failure.what()}});
     auto reply = transport::make_error_response(failure);
-    if (failure.kind() == error_kind::unavailable) {
-        reply.head.headers.push_back(transport::make_retry_after(unready_retry_after));
+    if (failure.kind() == error_kind::unavailable || failure.kind() == error_kind::not_run) {
+        reply.head.headers.push_back(transport::make_retry_after(retry_after));
     }
     response->respond(std::move(reply));
 }
@@ -122,14 +140,20 @@
     for (const auto& [name, dispatcher] : this->dispatchers_) {
         dispatcher->tick();
     }
+    this->guard_.tick();
+    for (const auto& request : this->all_requests()) {
+        request->tick();
+    }
+}
+
+std::vector<std::shared_ptr<proxied_request>> gateway::all_requests() const
+{
     std::vector<std::shared_ptr<proxied_request>> requests;
     requests.reserve(this->open_requests_.size());
     for (const auto& [number, request] : this->open_requests_) {
         requests.push_back(request);
     }
-    for (const auto& request : requests) {
-        request->tick();
-    }
+    return requests;
 }
 
 std::unordered_map<std::uint64_t, unsigned> gateway::running_by_upstream() const
@@ -147,7 +171,7 @@
     if (!dispatcher) {
         dispatcher = std::make_shared<service_dispatcher>(
             this->context_, this->clock_, this->options_.protocol, this->metrics_,
-            this->held_bytes_, this->crashes_, name, hash64(name, this->options_.seed));
+            this->held_bytes_, this->guard_, name, hash64(name, this->options_.seed));
         dispatcher->set_retry_budget(this->options_.retry_budget, this->gateway_count_);
         dispatcher->set_remote_load(this->remote_load_);
         if (this->config_.active().config) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -11,8 +11,8 @@
 #include "base/event_log.h"
 #include "gateway/caller_protocol.h"
 #include "gateway/config_state.h"
-#include "gateway/crash_detector.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/prompt_guard.h"
 #include "gateway/request_filters.h"
 #include "gateway/service_dispatcher.h"
 #include "model/upstream_entry.h"
@@ -77,11 +77,16 @@
 
     [[nodiscard]] std::size_t open_requests() const { return this->open_requests_.size(); }
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
+    [[nodiscard]] prompt_guard& guard() { return this->guard_; }
 
 private:
     std::shared_ptr<service_dispatcher> dispatcher_for(const std::string& name);
     [[nodiscard]] std::string choose_service(const model::route& route);
-    void refuse(const transport::http_request& message, const error& failure,
+    /// Ends the requests that hold parts which were quarantined meanwhile.
+    void end_quarantined_requests();
+    /// @return the open requests; an entry may end while the others are visited
+    [[nodiscard]] std::vector<std::shared_ptr<proxied_request>> all_requests() const;
+    void refuse(const transport::http_request& message, const error& failure, duration retry_after,
                 const std::shared_ptr<transport::response_stream>& response);
 
     transport::runtime& context_;
@@ -91,7 +96,7 @@
     request_filters filters_;
     gateway_metrics metrics_;
     policy::byte_budget held_bytes_{options_.max_held_response_bytes};
-    crash_detector crashes_;
+    prompt_guard guard_;
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -178,8 +178,11 @@
             heartbeat.upstreams_position =
                 this->upstream_follower_ ? this->upstream_follower_->position() : 0;
             heartbeat.running = this->gateway_.running_by_upstream();
+            heartbeat.quarantine = this->gateway_.guard().report();
         },
-        [this] { this->on_peer_heartbeat(); });
+        [this](const policy::peer_heartbeat& heartbeat, bool was_silent) {
+            this->on_peer_heartbeat(heartbeat, was_silent);
+        });
     this->peer_exchange_->add_addresses(this->settings_.seeds);
     this->peer_exchange_->start();
 }
@@ -322,8 +325,14 @@
         has_lowest_name && !must_wait && now >= this->started_at_ + initial_election_delay, now);
 }
 
-void gateway_process::on_peer_heartbeat()
+void gateway_process::on_peer_heartbeat(const policy::peer_heartbeat& heartbeat, bool was_silent)
 {
+    if (was_silent) {
+        this->gateway_.guard().report_again();
+    }
+    if (heartbeat.quarantine) {
+        this->gateway_.guard().merge(*heartbeat.quarantine);
+    }
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
     this->gateway_.set_remote_load(this->peer_exchange_->table().running(now), alive.size() + 1);
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -103,7 +103,7 @@
     void on_upstream_changes(const std::vector<policy::keyed_record>& changes);
 
     /// Updates the load of other gateways, and catches up if one has newer data.
-    void on_peer_heartbeat();
+    void on_peer_heartbeat(const policy::peer_heartbeat& heartbeat, bool was_silent);
 
     /// Fetches a newer configuration from another gateway, in case the store does not answer.
     void fetch_config(const std::string& control_address);
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/quarantine_codec.h"
 #include "model/wire.pb.h"
 #include "transport/address_text.h"
 
@@ -37,6 +38,9 @@
     for (const auto& address : live_addresses) {
         message.add_known_address(address);
     }
+    if (heartbeat.quarantine) {
+        write_report(*heartbeat.quarantine, message);
+    }
     return message.SerializeAsString();
 }
 
@@ -66,6 +70,9 @@
     for (int index = 0; index < n; ++index) {
         heartbeat.running[message.upstream(index)] = message.running(index);
     }
+    if (message.crash_size() + message.answer_size() + message.quarantine_size() > 0) {
+        heartbeat.quarantine = read_report(message);
+    }
     return heartbeat;
 }
 
@@ -73,7 +80,7 @@
 
 peer_exchange::peer_exchange(transport::runtime& context, const clock_source& clock,
                              policy::peer_heartbeat own_heartbeat, peer_options options,
-                             state_source fill_state, std::function<void()> on_heartbeat)
+                             state_source fill_state, heartbeat_handler on_heartbeat)
     : context_(context), clock_(clock), own_heartbeat_(std::move(own_heartbeat)), options_(options),
       fill_state_(std::move(fill_state)), on_heartbeat_(std::move(on_heartbeat))
 {
@@ -128,14 +135,15 @@
     }
     this->add_addresses({heartbeat.beat_address});
     this->add_addresses({message.known_address().begin(), message.known_address().end()});
-    if (this->table_.on_heartbeat(heartbeat, this->clock_.now())) {
+    const bool was_silent = this->table_.on_heartbeat(heartbeat, this->clock_.now());
+    if (was_silent) {
         this->log_.note(log_level::info, "peer heard",
                         {{"peer", heartbeat.instance},
                          {"address", heartbeat.beat_address},
                          {"serving", heartbeat.serving},
                          {"config", static_cast<std::int64_t>(heartbeat.config_version)}});
     }
-    this->on_heartbeat_();
+    this->on_heartbeat_(heartbeat, was_silent);
 }
 
 void peer_exchange::send_heartbeat()
--- a/Source/gateway/peer_exchange.h
+++ b/Source/gateway/peer_exchange.h
@@ -34,6 +34,9 @@
     /// Sets the fields of a heartbeat that state the current condition of this gateway.
     using state_source = std::function<void(policy::peer_heartbeat&)>;
 
+    /// Takes a heartbeat and whether its peer was unknown or silent before.
+    using heartbeat_handler = std::function<void(const policy::peer_heartbeat&, bool was_silent)>;
+
     /// @param context runs the timer and the socket
     /// @param clock source of the current time
     /// @param own_heartbeat holds the name, addresses and incarnation of this gateway
@@ -42,7 +45,7 @@
     /// @param on_heartbeat called after each heartbeat received
     peer_exchange(transport::runtime& context, const clock_source& clock,
                   policy::peer_heartbeat own_heartbeat, peer_options options,
-                  state_source fill_state, std::function<void()> on_heartbeat);
+                  state_source fill_state, heartbeat_handler on_heartbeat);
 
     /// Binds the heartbeat address and starts to send.
     /// @throws error of kind unavailable if the address cannot be bound
@@ -66,7 +69,7 @@
     policy::peer_heartbeat own_heartbeat_;
     peer_options options_;
     state_source fill_state_;
-    std::function<void()> on_heartbeat_;
+    heartbeat_handler on_heartbeat_;
     policy::peer_table table_;
     std::set<std::string> addresses_; ///< destinations, without the address of this gateway
     std::unique_ptr<transport::datagram_socket> socket_;
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -220,7 +220,11 @@
         this->dispatcher_->on_attempt_result(it.target.key, policy::call_outcome::succeeded,
                                              now - it.sent_at);
     }
+    const bool had_written = this->has_written_answer();
     it.event_count += this->splitter_.event_count() - earlier_events;
+    if (!had_written && this->has_written_answer()) {
+        this->dispatcher_->guard().on_answered(this->details_.shared_parts);
+    }
     it.last_received_at = now;
     if (this->response_->write(std::move(complete_events)) > max_unsent_bytes) {
         this->abort_stream("the caller reads too slowly");
@@ -240,13 +244,11 @@
 void proxied_request::on_stream_end()
 {
     if (!this->stream_started_ || this->splitter_.has_partial_event()) {
-        this->check_upstream();
-        this->end_and_exclude(policy::call_outcome::failed);
-        this->on_attempt_failed(attempt_failure::unknown,
-                                "the stream ended in the middle of an event");
+        this->on_broken_answer("the stream ended in the middle of an event");
         return;
     }
     const auto status = this->attempt_->head.status;
+    this->dispatcher_->guard().on_answered(this->details_.shared_parts);
     this->end_attempt(policy::call_outcome::abandoned, std::nullopt);
     this->response_->finish();
     this->finish("answered", status, {});
@@ -265,6 +267,7 @@
         this->on_attempt_failed(attempt_failure::not_run, reason);
         return;
     }
+    this->dispatcher_->guard().on_answered(this->details_.shared_parts);
     if (is_success(head.status)) {
         transport::http_response response{head, std::move(this->attempt_->body)};
         this->end_attempt(policy::call_outcome::succeeded, now - this->attempt_->sent_at);
@@ -288,8 +291,12 @@
 void proxied_request::on_failure(const transport::http_failure& failure)
 {
     const auto result = failure.maybe_sent ? attempt_failure::unknown : attempt_failure::not_sent;
-    if (failure.end == transport::exchange_end::connection_closed) {
-        this->check_upstream();
+    if (failure.maybe_sent && failure.end == transport::exchange_end::connection_closed) {
+        this->on_broken_answer(failure.message);
+        return;
+    }
+    if (failure.end == transport::exchange_end::connection_refused) {
+        this->dispatcher_->on_unreachable(this->attempt_->target.key);
     }
     this->end_and_exclude(policy::call_outcome::failed);
     this->on_attempt_failed(result, failure.message);
@@ -302,14 +309,55 @@
     return this->attempt_ && this->attempt_->event_count >= min_events;
 }
 
-void proxied_request::check_upstream()
+void proxied_request::on_broken_answer(std::string reason)
+{
+    const bool may_be_cause = !this->details_.shared_parts.empty() && !this->has_written_answer();
+    const auto target = this->attempt_->target;
+    const auto sent_at = this->attempt_->sent_at;
+    this->end_and_exclude(policy::call_outcome::failed);
+    if (!may_be_cause) {
+        this->on_attempt_failed(attempt_failure::unknown, std::move(reason));
+        return;
+    }
+    this->may_have_run_ = true;
+    this->dispatcher_->guard().check_upstream(
+        target.incarnation, target.address, {sent_at, this->details_.shared_parts},
+        [self = this->shared_from_this(), key = target.key,
+         reason = std::move(reason)](bool ended, bool is_suspicious) {
+            self->on_upstream_checked(ended, is_suspicious, key, reason);
+        });
+}
+
+void proxied_request::on_upstream_checked(bool ended, bool is_suspicious, std::uint64_t upstream,
+                                          std::string reason)
+{
+    if (ended) {
+        this->dispatcher_->on_unreachable(upstream);
+    }
+    if (this->ended_) {
+        return;
+    }
+    if (ended && is_suspicious) {
+        this->last_failure_reason_ = "the upstream ended: " + reason;
+        this->end_after_failure();
+        return;
+    }
+    this->on_attempt_failed(attempt_failure::unknown, std::move(reason));
+}
+
+void proxied_request::end_if_quarantined()
 {
-    if (this->details_.shared_parts.empty() || this->has_written_answer()) {
+    if (this->ended_ || this->has_written_answer() ||
+        !this->dispatcher_->guard().refused_for(this->details_.shared_parts)) {
         return;
     }
-    const auto& it = *this->attempt_;
-    this->dispatcher_->crashes().check(it.target.incarnation, it.target.address,
-                                       {it.sent_at, this->details_.shared_parts}, [](bool) {});
+    if (this->attempt_) {
+        this->may_have_run_ = true;
+        this->end_and_exclude(policy::call_outcome::abandoned);
+    }
+    this->dispatcher_->remove_waiting(this->details_.number);
+    this->last_failure_reason_ = "a part of the prompt has ended several upstreams";
+    this->end_after_failure();
 }
 
 void proxied_request::end_and_exclude(policy::call_outcome outcome)
@@ -350,6 +398,7 @@
     }
     // Fails at once if no other upstream is left, instead of waiting until the deadline.
     if (!this->dispatcher_->has_alternative(this->excluded_upstreams_) ||
+        this->dispatcher_->guard().refused_for(this->details_.shared_parts) ||
         !this->may_retry(failure)) {
         this->end_after_failure();
         return;
@@ -460,7 +509,8 @@
 void proxied_request::respond_not_run(std::string_view reason)
 {
     const auto time_left = this->details_.deadline - this->dispatcher_->clock().now();
-    const auto wait = this->dispatcher_->wait_policy().retry_after(time_left);
+    const auto refused_for = this->dispatcher_->guard().refused_for(this->details_.shared_parts);
+    const auto wait = refused_for.value_or(this->dispatcher_->wait_policy().retry_after(time_left));
     auto response =
         transport::make_error_response(error(error_kind::not_run, std::string(reason),
                                              "Retry the request after the time in Retry-After."));
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -40,6 +40,9 @@
     /// Ends the request because it waited too long for an upstream; called by the dispatcher.
     void on_queue_timeout();
 
+    /// Ends the request if a part of its prompt is quarantined and no answer has begun.
+    void end_if_quarantined();
+
     /// Ends the request if its deadline has passed. Fails over an attempt that hangs if the request
     /// may be retried.
     void tick();
@@ -86,9 +89,11 @@
     /// @return whether the upstream has written more than the beginning of an answer
     [[nodiscard]] bool has_written_answer() const;
 
-    /// Finds out whether the upstream of the attempt has ended, if it closed the connection before
-    /// it wrote an answer.
-    void check_upstream();
+    /// Ends an attempt whose upstream closed the connection before the answer was complete. If the
+    /// upstream has ended, the request is repeated only if it is not suspected to be the cause.
+    void on_broken_answer(std::string reason);
+    void on_upstream_checked(bool ended, bool is_suspicious, std::uint64_t upstream,
+                             std::string reason);
 
     /// Ends the attempt and excludes its upstream from later attempts.
     void end_and_exclude(policy::call_outcome outcome);
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -21,10 +21,10 @@
 
 service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
                                        const caller_protocol& protocol, gateway_metrics& metrics,
-                                       policy::byte_budget& held_bytes, crash_detector& crashes,
+                                       policy::byte_budget& held_bytes, prompt_guard& guard,
                                        std::string name, std::uint64_t seed)
     : context_(context), clock_(clock), protocol_(protocol), metrics_(metrics),
-      held_bytes_(held_bytes), crashes_(crashes), name_(std::move(name)), scheduler_({}, seed),
+      held_bytes_(held_bytes), guard_(guard), name_(std::move(name)), scheduler_({}, seed),
       wait_policy_({}, seed + 1)
 {
 }
@@ -139,6 +139,11 @@
     this->scheduler_.on_result(upstream, outcome, latency, this->clock_.now());
 }
 
+void service_dispatcher::on_unreachable(std::uint64_t upstream)
+{
+    this->scheduler_.on_unreachable(upstream, this->clock_.now());
+}
+
 bool service_dispatcher::try_take_retry()
 {
     return this->retry_budget_.try_take(this->clock_.now());
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -10,8 +10,8 @@
 
 #include "base/clock.h"
 #include "gateway/caller_protocol.h"
-#include "gateway/crash_detector.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/prompt_guard.h"
 #include "model/route_config.h"
 #include "model/upstream_entry.h"
 #include "policy/attempt_budget.h"
@@ -41,7 +41,7 @@
 public:
     service_dispatcher(transport::runtime& context, const clock_source& clock,
                        const caller_protocol& protocol, gateway_metrics& metrics,
-                       policy::byte_budget& held_bytes, crash_detector& crashes, std::string name,
+                       policy::byte_budget& held_bytes, prompt_guard& guard, std::string name,
                        std::uint64_t seed);
 
     /// Replaces the upstreams of the service.
@@ -95,6 +95,9 @@
     void on_attempt_result(std::uint64_t upstream, policy::call_outcome outcome,
                            std::optional<duration> latency);
 
+    /// Avoids an upstream for a while, because nothing listens at its address.
+    void on_unreachable(std::uint64_t upstream);
+
     /// Takes one retry from the retry budget.
     /// @return whether the budget allowed it
     bool try_take_retry();
@@ -108,7 +111,7 @@
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
     /// @return budget of the responses that this gateway holds
     [[nodiscard]] policy::byte_budget& held_bytes() { return this->held_bytes_; }
-    [[nodiscard]] crash_detector& crashes() { return this->crashes_; }
+    [[nodiscard]] prompt_guard& guard() { return this->guard_; }
     [[nodiscard]] policy::waiting_policy& wait_policy() { return this->wait_policy_; }
     [[nodiscard]] const policy::upstream_scheduler& scheduler() const { return this->scheduler_; }
     [[nodiscard]] const policy::step_time_limit& step_limit() const { return this->step_limit_; }
@@ -128,7 +131,7 @@
     const caller_protocol& protocol_;
     gateway_metrics& metrics_;
     policy::byte_budget& held_bytes_;
-    crash_detector& crashes_;
+    prompt_guard& guard_;
     std::string name_;
     policy::upstream_scheduler scheduler_;
     policy::waiting_policy wait_policy_;
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -8,7 +8,7 @@
 {
     const auto found = this->peers_.find(heartbeat.instance);
     if (found == this->peers_.end()) {
-        this->peers_[heartbeat.instance] = {heartbeat, now};
+        store(this->peers_[heartbeat.instance], heartbeat, now);
         return true;
     }
     auto& it = found->second;
@@ -17,10 +17,16 @@
         return false;
     }
     const bool was_silent = this->is_silent(it, now);
-    it = {heartbeat, now};
+    store(it, heartbeat, now);
     return was_silent;
 }
 
+void peer_table::store(peer_state& it, const peer_heartbeat& heartbeat, time_point now)
+{
+    it = {heartbeat, now};
+    it.heartbeat.quarantine.reset(); // taken over when it comes
+}
+
 void peer_table::on_tick(time_point now)
 {
     if (this->last_tick_ != time_point{} &&
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -2,11 +2,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/prompt_quarantine.h"
 
 namespace medlaryoke::policy {
 
@@ -23,6 +25,8 @@
     std::uint64_t config_version = 0;
     std::uint64_t upstreams_position = 0; ///< how far it has read the list of upstreams
     std::unordered_map<std::uint64_t, unsigned> running; ///< running requests by upstream id
+    std::optional<quarantine_report>
+        quarantine; ///< what the gateway knows of crashes, if it is new
 };
 
 /// Timeouts of a peer_table.
@@ -69,6 +73,7 @@
     };
 
     [[nodiscard]] bool is_silent(const peer_state& it, time_point now) const;
+    static void store(peer_state& it, const peer_heartbeat& heartbeat, time_point now);
 
     peer_table_options options_;
     std::map<std::string, peer_state> peers_;
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -221,6 +221,13 @@
     }
 }
 
+void upstream_scheduler::on_unreachable(std::uint64_t upstream, time_point now)
+{
+    if (const auto found = this->upstreams_.find(upstream); found != this->upstreams_.end()) {
+        found->second.backoff_until = now + this->options_.unreachable_backoff;
+    }
+}
+
 bool upstream_scheduler::is_usable(std::uint64_t upstream) const
 {
     const auto found = this->upstreams_.find(upstream);
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -46,6 +46,8 @@
     double starvation_credit = 0.05;
     /// How long an upstream gets no further request after it refused one as full or not ready.
     duration refusal_backoff = std::chrono::milliseconds(150);
+    /// How long an upstream gets no further request after it refused a connection.
+    duration unreachable_backoff = std::chrono::seconds(1);
     /// Multiple of the median latency from which an upstream counts as slow.
     double slow_factor = 1.5;
     /// Latencies older than this are ignored, so that a slow upstream that has recovered gets
@@ -121,6 +123,12 @@
     void on_result(std::uint64_t upstream, call_outcome outcome, std::optional<duration> latency,
                    time_point now);
 
+    /// Avoids an upstream for a while, because nothing listens at its address. It has ended, and
+    /// stays in the list until its entry lapses.
+    /// @param upstream id of the upstream
+    /// @param now the current time
+    void on_unreachable(std::uint64_t upstream, time_point now);
+
     /// @param upstream id of an upstream
     /// @return whether it is in the list and not draining
     [[nodiscard]] bool is_usable(std::uint64_t upstream) const;
--- a/Tests/gateway/test_peer_exchange.cxx
+++ b/Tests/gateway/test_peer_exchange.cxx
@@ -36,7 +36,7 @@
         own.control_address = "127.0.0.1:1";
         exchange = std::make_shared<peer_exchange>(
             context, clock, own, peer_options{}, [](policy::peer_heartbeat&) {},
-            [this] { ++heard; });
+            [this](const policy::peer_heartbeat&, bool) { ++heard; });
         exchange->add_addresses({peer.address()});
         context.start();
         context.post([this] { exchange->start(); });
