gateway: Do not count upstreams that cannot be reached as attempts

Callers saw: 503 for sound requests although upstreams were free, when many upstreams had just ended and were still listed.

--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -37,6 +37,10 @@
 // An attempt with less time left before the deadline cannot bring a response.
 constexpr auto min_attempt_time = std::chrono::milliseconds(30);
 
+// Upstreams to which a request may be sent in vain because they cannot be reached. Each costs a
+// round trip at most if its machine answers; many upstreams may have ended a moment ago.
+constexpr std::uint64_t max_unsent_attempts = 16;
+
 constexpr unsigned misdirected_status = 421;
 constexpr unsigned unavailable_status = 503;
 constexpr unsigned bad_gateway_status = 502;
@@ -396,6 +400,9 @@
         this->may_have_run_ = true;
         ++this->possible_run_count_;
     }
+    else if (failure == attempt_failure::not_sent) {
+        ++this->unsent_count_;
+    }
     // Fails at once if no other upstream is left, instead of waiting until the deadline.
     if (!this->dispatcher_->has_alternative(this->excluded_upstreams_) ||
         this->dispatcher_->guard().refused_for(this->details_.shared_parts) ||
@@ -424,7 +431,9 @@
     // Refused attempts are bounded too, as each takes from the retry budget that all gateways
     // share.
     constexpr std::uint64_t max_refused_attempts = 3;
-    if (this->attempt_count_ >= route.max_attempts + max_refused_attempts) {
+    const auto sent_attempts = this->attempt_count_ - this->unsent_count_;
+    if (sent_attempts >= route.max_attempts + max_refused_attempts ||
+        this->unsent_count_ > max_unsent_attempts) {
         return false;
     }
     return failure == attempt_failure::not_sent || this->dispatcher_->try_take_retry();
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -144,6 +144,7 @@
     event_log log_{"request"};
     std::optional<attempt> attempt_;
     std::uint64_t attempt_count_ = 0; ///< attempts assigned to an upstream so far
+    std::uint64_t unsent_count_ = 0;  ///< ended attempts that did not leave this process
     unsigned possible_run_count_ = 0; ///< ended attempts that may have run
     bool may_have_run_ = false;
     bool stream_started_ = false; ///< the head of a stream was sent to the caller
