gateway, policy: Keep quarantines over restarts, and don't blame sound parts

Causes: the quarantine lived in memory only; the decision did not wait for what peers had seen answered, and a wrong one could not end, because no request of the part was sent any more. Change: quarantines are stored under the gateways' names in order, read at start, and passed on to peers that are new. The decision waits 2 s, longer than a group takes to cut off its other streams; a part whose upstream survived the beginning of an answer is cleared; crashes are weighed against the number of requests. A quarantine that affects a tenth of the requests is tested once, by the first gateway. The fakes no longer leak listening sockets into the gateways that tests start (closed on exec), which had kept ended engines reachable.

--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -30,7 +30,8 @@
                  const config_state& config)
     : context_(context), clock_(clock), options_(std::move(options)), config_(config),
       filters_(options_.protocol),
-      guard_(context, clock, metrics_, [this](const auto&) { this->end_quarantined_requests(); }),
+      guard_(context, clock, options_.quarantine, metrics_,
+             [this](const auto& parts) { this->on_new_quarantine(parts); }),
       random_(options_.seed)
 {
 }
@@ -47,7 +48,9 @@
         }
         auto request = this->filters_.apply(message, this->config_.active(), this->clock_.now());
         this->guard_.on_request(request.shared_parts);
-        if (const auto left = this->guard_.refused_for(request.shared_parts)) {
+        const auto left = this->guard_.refused_for(request.shared_parts);
+        request.tests_quarantine = left && this->guard_.try_test(request.shared_parts);
+        if (left && !request.tests_quarantine) {
             this->refuse(message, make_quarantine_error(), *left, response);
             return;
         }
@@ -65,11 +68,14 @@
     }
 }
 
-void gateway::end_quarantined_requests()
+void gateway::on_new_quarantine(const std::vector<policy::quarantined_part>& parts)
 {
     for (const auto& request : this->all_requests()) {
         request->end_if_quarantined();
     }
+    if (this->on_quarantined_) {
+        this->on_quarantined_(parts);
+    }
 }
 
 void gateway::refuse(const transport::http_request& message, const error& failure,
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -32,6 +32,7 @@
     /// Bytes of responses that are held at the same time until they are complete. A response that
     /// would exceed them fails.
     std::size_t max_held_response_bytes = 64U * 1024U * 1024U;
+    policy::quarantine_options quarantine;
 };
 
 /// Routes callers' HTTP requests by host and path to the upstreams of a service. Uses no locks: all
@@ -56,6 +57,12 @@
     /// Applies the active configuration to all services.
     void apply_config();
 
+    /// @param handler called with parts of prompts that are quarantined from now on
+    void on_quarantined(prompt_guard::quarantine_handler handler)
+    {
+        this->on_quarantined_ = std::move(handler);
+    }
+
     /// Replaces the list of upstreams of all services.
     void set_upstreams(const std::vector<model::upstream_entry>& upstreams);
 
@@ -83,7 +90,7 @@
     std::shared_ptr<service_dispatcher> dispatcher_for(const std::string& name);
     [[nodiscard]] std::string choose_service(const model::route& route);
     /// Ends the requests that hold parts which were quarantined meanwhile.
-    void end_quarantined_requests();
+    void on_new_quarantine(const std::vector<policy::quarantined_part>& parts);
     /// @return the open requests; an entry may end while the others are visited
     [[nodiscard]] std::vector<std::shared_ptr<proxied_request>> all_requests() const;
     void refuse(const transport::http_request& message, const error& failure, duration retry_after,
@@ -96,6 +103,7 @@
     request_filters filters_;
     gateway_metrics metrics_;
     policy::byte_budget held_bytes_{options_.max_held_response_bytes};
+    prompt_guard::quarantine_handler on_quarantined_;
     prompt_guard guard_;
     event_log log_{"gateway"};
     std::mt19937_64 random_;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -62,7 +62,12 @@
 
 gateway_options make_gateway_options(const gateway_settings& settings, const deployment& adapter)
 {
-    return {adapter.protocol, settings.data_centre, settings.retry_budget, random_number()};
+    gateway_options options;
+    options.protocol = adapter.protocol;
+    options.data_centre = settings.data_centre;
+    options.retry_budget = settings.retry_budget;
+    options.seed = random_number();
+    return options;
 }
 
 } // namespace
@@ -204,11 +209,30 @@
     this->upstream_follower_ = follow(
         this->adapter_.upstreams_topic, [this](const auto& it) { this->on_upstream_changes(it); },
         [this](bool available) { this->registry_.on_store(available, this->clock_.now()); });
+    this->keep_quarantines();
     this->publish_heartbeat_address();
     this->refresh_peer_addresses();
     this->tick();
 }
 
+void gateway_process::keep_quarantines()
+{
+    const auto lower_peers = [this] {
+        const auto alive = this->peer_exchange_->table().alive_peers(this->clock_.now());
+        return static_cast<std::size_t>(
+            std::ranges::count_if(alive, [this](const policy::peer_heartbeat* peer) {
+                return peer->instance < this->settings_.instance;
+            }));
+    };
+    this->quarantine_store_ = std::make_shared<quarantine_store>(
+        this->context_, this->clock_, *this->store_, this->adapter_.quarantine_topic,
+        this->gateway_.guard(), lower_peers);
+    this->gateway_.guard().set_tester([lower_peers] { return lower_peers() == 0; });
+    this->gateway_.on_quarantined(
+        [this](const auto& parts) { this->quarantine_store_->save(parts); });
+    this->quarantine_store_->load();
+}
+
 void gateway_process::publish_heartbeat_address()
 {
     this->store_->put(this->adapter_.gateways_topic, this->settings_.instance,
@@ -428,6 +452,8 @@
     metrics.set(
         "peers_alive", {},
         static_cast<double>(this->peer_exchange_->table().alive_peers(this->clock_.now()).size()));
+    metrics.set("quarantined_parts", {},
+                static_cast<double>(this->gateway_.guard().quarantined().size()));
     metrics.set("map_switches", {}, static_cast<double>(this->coordination_.switches()));
     metrics.set("long_group_holds", {}, static_cast<double>(this->coordination_.long_holds()));
     metrics.set("log_lines_dropped", {}, static_cast<double>(dropped_log_lines()));
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -14,6 +14,7 @@
 #include "gateway/gateway.h"
 #include "gateway/keyed_log.h"
 #include "gateway/peer_exchange.h"
+#include "gateway/quarantine_store.h"
 #include "gateway/topic_follower.h"
 #include "policy/upstream_registry.h"
 #include "transport/http_client.h"
@@ -56,6 +57,7 @@
     std::string config_key;
     std::string upstreams_topic;
     std::string gateways_topic;     ///< heartbeat addresses, written by the gateways
+    std::string quarantine_topic;   ///< quarantined parts of prompts, written by the gateways
     std::string coordinators_topic; ///< written by coordinators; offset + 1 is the fencing token
     /// Creates a client for an engine on another machine.
     std::function<std::unique_ptr<experts::lockstep_engine>(transport::runtime&,
@@ -99,6 +101,7 @@
 
     /// Lists the gateways' topic regularly and sends heartbeats to the addresses in it.
     void refresh_peer_addresses();
+    void keep_quarantines();
     void on_config_changes(const std::vector<policy::keyed_record>& changes);
     void on_upstream_changes(const std::vector<policy::keyed_record>& changes);
 
@@ -148,6 +151,7 @@
     policy::upstream_registry registry_;
     experts::group_coordination coordination_;
     std::shared_ptr<peer_exchange> peer_exchange_;
+    std::shared_ptr<quarantine_store> quarantine_store_;
     std::shared_ptr<topic_follower> config_follower_;
     std::shared_ptr<topic_follower> upstream_follower_;
     std::unique_ptr<transport::http_server> caller_server_;
--- a/Source/gateway/prompt_guard.cxx
+++ b/Source/gateway/prompt_guard.cxx
@@ -5,9 +5,10 @@
 namespace medlaryoke::gateway {
 
 prompt_guard::prompt_guard(transport::runtime& context, const clock_source& clock,
-                           gateway_metrics& metrics, quarantine_handler on_quarantined)
+                           const policy::quarantine_options& options, gateway_metrics& metrics,
+                           quarantine_handler on_quarantined)
     : clock_(clock), metrics_(metrics), on_quarantined_(std::move(on_quarantined)),
-      detector_(context, clock, [this](const policy::upstream_crash& crash) {
+      quarantine_(options), detector_(context, clock, [this](const policy::upstream_crash& crash) {
           this->metrics_.count("upstreams_ended");
           this->quarantine_.on_crash(crash, this->clock_.now());
       })
@@ -31,6 +32,15 @@
     return until ? std::optional<duration>(*until - now) : std::nullopt;
 }
 
+bool prompt_guard::try_test(const std::vector<std::string>& parts)
+{
+    if (!this->may_test_() || !this->quarantine_.try_test(parts, this->clock_.now())) {
+        return false;
+    }
+    this->log_.note(log_level::warning, "quarantine is tested with one request", {});
+    return true;
+}
+
 void prompt_guard::check_upstream(std::uint64_t upstream, const std::string& address,
                                   const policy::crash_suspect& suspect,
                                   std::function<void(bool ended, bool is_suspicious)> done)
--- a/Source/gateway/prompt_guard.h
+++ b/Source/gateway/prompt_guard.h
@@ -23,15 +23,20 @@
 
     /// @param context runs the checks of upstreams
     /// @param clock source of the current time
+    /// @param options of the quarantine
     /// @param metrics receives the counters
     /// @param on_quarantined called with parts that are quarantined from now on
-    prompt_guard(transport::runtime& context, const clock_source& clock, gateway_metrics& metrics,
+    prompt_guard(transport::runtime& context, const clock_source& clock,
+                 const policy::quarantine_options& options, gateway_metrics& metrics,
                  quarantine_handler on_quarantined);
 
     /// Counts a new request.
     /// @param parts of its prompt that other requests may share
     void on_request(const std::vector<std::string>& parts);
 
+    /// @param may_test returns whether this gateway is the one that tests quarantines
+    void set_tester(std::function<bool()> may_test) { this->may_test_ = std::move(may_test); }
+
     /// Notes that an upstream has written an answer.
     /// @param parts of the prompt
     void on_answered(const std::vector<std::string>& parts);
@@ -40,6 +45,10 @@
     /// @return for how long requests with one of the parts are refused; empty if they are not
     [[nodiscard]] std::optional<duration> refused_for(const std::vector<std::string>& parts) const;
 
+    /// Decides whether a request that would be refused is sent all the same; see
+    /// policy::prompt_quarantine::try_test.
+    [[nodiscard]] bool try_test(const std::vector<std::string>& parts);
+
     /// Finds out whether an upstream that closed a connection before it wrote an answer has ended.
     /// @param upstream hash of the id and the start time of the upstream
     /// @param address of the upstream
@@ -81,6 +90,7 @@
     const clock_source& clock_;
     gateway_metrics& metrics_;
     quarantine_handler on_quarantined_;
+    std::function<bool()> may_test_ = [] { return true; };
     policy::prompt_quarantine quarantine_;
     crash_detector detector_;
     event_log log_{"crash"};
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -316,6 +316,7 @@
 void proxied_request::on_broken_answer(std::string reason)
 {
     const bool may_be_cause = !this->details_.shared_parts.empty() && !this->has_written_answer();
+    const bool has_begun = this->attempt_->event_count > 0;
     const auto target = this->attempt_->target;
     const auto sent_at = this->attempt_->sent_at;
     this->end_and_exclude(policy::call_outcome::failed);
@@ -326,8 +327,11 @@
     this->may_have_run_ = true;
     this->dispatcher_->guard().check_upstream(
         target.incarnation, target.address, {sent_at, this->details_.shared_parts},
-        [self = this->shared_from_this(), key = target.key,
+        [self = this->shared_from_this(), key = target.key, has_begun,
          reason = std::move(reason)](bool ended, bool is_suspicious) {
+            if (!ended && has_begun) {
+                self->dispatcher_->guard().on_answered(self->details_.shared_parts);
+            }
             self->on_upstream_checked(ended, is_suspicious, key, reason);
         });
 }
@@ -351,7 +355,7 @@
 
 void proxied_request::end_if_quarantined()
 {
-    if (this->ended_ || this->has_written_answer() ||
+    if (this->ended_ || this->has_written_answer() || this->details_.tests_quarantine ||
         !this->dispatcher_->guard().refused_for(this->details_.shared_parts)) {
         return;
     }
--- a/Source/gateway/quarantine_codec.cxx
+++ b/Source/gateway/quarantine_codec.cxx
@@ -51,6 +51,7 @@
         quarantine.set_since_ms(to_ms(it.since));
         quarantine.set_left_ms(to_ms(it.left));
         quarantine.set_is_stored(it.is_stored);
+        quarantine.set_is_tested(it.is_tested);
     }
 }
 
@@ -70,8 +71,8 @@
         report.answers.push_back({it.part(), from_ms(it.ago_ms())});
     }
     for (const auto& it : message.quarantine()) {
-        report.quarantined.push_back(
-            {it.part(), from_ms(it.since_ms()), from_ms(it.left_ms()), it.is_stored()});
+        report.quarantined.push_back({it.part(), from_ms(it.since_ms()), from_ms(it.left_ms()),
+                                      it.is_stored(), it.is_tested()});
     }
     return report;
 }
@@ -83,6 +84,7 @@
     const auto unix_ms = to_unix_ms(unix_now);
     message.set_since_unix_ms(unix_ms - static_cast<std::int64_t>(to_ms(now - part.since)));
     message.set_until_unix_ms(unix_ms + static_cast<std::int64_t>(to_ms(part.until - now)));
+    message.set_is_tested(part.is_tested);
     return message.SerializeAsString();
 }
 
@@ -101,7 +103,8 @@
     const auto past = std::max<std::int64_t>(unix_ms - message.since_unix_ms(), 0);
     const auto left = message.until_unix_ms() - unix_ms;
     return policy::quarantined_part{part, now - from_ms(static_cast<std::uint64_t>(past)),
-                                    now + from_ms(static_cast<std::uint64_t>(left)), true};
+                                    now + from_ms(static_cast<std::uint64_t>(left)), true,
+                                    message.is_tested()};
 }
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/routed_request.h
+++ b/Source/gateway/routed_request.h
@@ -24,6 +24,7 @@
     double prompt_tokens = 0;           ///< 0: unknown, or not a generation request
     /// Parts of the prompt that other requests may share, as MODEL/ID.
     std::vector<std::string> shared_parts;
+    bool tests_quarantine = false; ///< sent although one of its parts is quarantined
     time_point arrived{};
     time_point deadline{}; ///< the earlier of the caller's deadline and the route's timeout
     transport::http_request message; ///< without hop-by-hop headers and the API key
--- a/Source/policy/prompt_quarantine.cxx
+++ b/Source/policy/prompt_quarantine.cxx
@@ -1,6 +1,7 @@
 #include "policy/prompt_quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -15,6 +16,9 @@
 constexpr std::size_t max_reported_answers = 128;
 constexpr std::size_t max_reported_quarantines = 128;
 
+// Requests added to those that were counted for a part, as this gateway sees few of all requests.
+constexpr double assumed_requests = 5;
+
 bool holds_part(const crash_suspect& suspect, const std::string& part)
 {
     return std::ranges::find(suspect.parts, part) != suspect.parts.end();
@@ -58,6 +62,9 @@
 
 void prompt_quarantine::on_request(const std::vector<std::string>& parts, time_point now)
 {
+    for (auto& [part, count] : this->refusals_) {
+        ++count.requests;
+    }
     for (const auto& part : parts) {
         if (const auto found = this->parts_.find(part); found != this->parts_.end()) {
             ++found->second.requests;
@@ -90,6 +97,7 @@
     const auto quarantine = this->quarantined_.find(part);
     if (quarantine != this->quarantined_.end() && answered_at > quarantine->second.since) {
         this->quarantined_.erase(quarantine);
+        this->refusals_.erase(part);
         this->report_again(now);
     }
 }
@@ -169,7 +177,7 @@
         parts.merge(parts_of(*crash));
     }
     std::optional<std::string> cause;
-    std::tuple<unsigned, bool, std::int64_t> best;
+    std::tuple<bool, double> best;
     for (const auto& part : parts) {
         const auto answered = this->answered_at(part);
         const auto count = count_separate_crashes(crashes, part, answered);
@@ -180,8 +188,9 @@
         }
         const auto known = this->parts_.find(part);
         const auto requests = known == this->parts_.end() ? 0 : known->second.requests;
-        const std::tuple rank(count, answered == time_point{},
-                              -static_cast<std::int64_t>(requests));
+        // A part with many requests is less likely to be the cause of a few crashes.
+        const std::tuple rank(answered == time_point{},
+                              count / (static_cast<double>(requests) + assumed_requests));
         if (!cause || rank > best) {
             cause = part;
             best = rank;
@@ -197,8 +206,9 @@
         length = std::min(2 * (earlier->second.until - earlier->second.since),
                           this->options_.max_quarantine_time);
     }
-    const quarantined_part result{part, now, now + length, false};
+    const quarantined_part result{part, now, now + length};
     this->quarantined_[part] = result;
+    this->refusals_[part] = {};
     this->report_again(now);
     return result;
 }
@@ -219,6 +229,29 @@
     return until;
 }
 
+bool prompt_quarantine::try_test(const std::vector<std::string>& parts, time_point now)
+{
+    std::vector<std::string> refusing;
+    std::ranges::copy_if(parts, std::back_inserter(refusing), [this, now](const std::string& part) {
+        return this->is_quarantined(part, now);
+    });
+    if (refusing.size() != 1) {
+        return false; // the outcome would not show which part is the cause
+    }
+    auto& it = this->quarantined_.at(refusing.front());
+    auto& count = this->refusals_[refusing.front()];
+    ++count.refused;
+    if (it.is_tested || now < it.since + this->options_.test_delay ||
+        count.refused < this->options_.min_tested_requests ||
+        static_cast<double>(count.refused) <
+            this->options_.min_tested_share * static_cast<double>(count.requests)) {
+        return false;
+    }
+    it.is_tested = true;
+    this->report_again(now);
+    return true;
+}
+
 bool prompt_quarantine::is_suspicious(const std::vector<std::string>& parts, time_point now) const
 {
     return std::ranges::any_of(parts, [this, now](const std::string& part) {
@@ -255,7 +288,8 @@
     }
     for (const auto& it : this->quarantined(now)) {
         if (report.quarantined.size() < max_reported_quarantines) {
-            report.quarantined.push_back({it.part, now - it.since, it.until - now, it.is_stored});
+            report.quarantined.push_back(
+                {it.part, now - it.since, it.until - now, it.is_stored, it.is_tested});
         }
     }
     for (const auto& part : named) {
@@ -282,7 +316,8 @@
     }
     std::vector<quarantined_part> adopted;
     for (const auto& it : report.quarantined) {
-        const quarantined_part part{it.part, now - it.since, now + it.left, it.is_stored};
+        const quarantined_part part{it.part, now - it.since, now + it.left, it.is_stored,
+                                    it.is_tested};
         if (this->adopt(part, now)) {
             adopted.push_back(part);
         }
@@ -310,10 +345,12 @@
     auto& known = this->quarantined_[part.part];
     if (is_new) {
         known = part;
+        this->refusals_[part.part] = {};
         this->report_again(now);
         return true;
     }
     known.is_stored = known.is_stored || part.is_stored;
+    known.is_tested = known.is_tested || part.is_tested;
     return false;
 }
 
@@ -374,6 +411,8 @@
     std::erase_if(this->quarantined_, [now](const auto& it) {
         return now > it.second.until + (it.second.until - it.second.since);
     });
+    std::erase_if(this->refusals_,
+                  [this](const auto& it) { return !this->quarantined_.contains(it.first); });
 }
 
 } // namespace medlaryoke::policy
--- a/Source/policy/prompt_quarantine.h
+++ b/Source/policy/prompt_quarantine.h
@@ -18,14 +18,22 @@
     /// Crashes without an answer in between after which a part is quarantined.
     unsigned crashes_to_quarantine = 2;
     /// Time between a crash and the decision on it, in which peers report the requests that they
-    /// had at the upstream and the parts that were answered. Two heartbeats.
-    duration decision_delay = std::chrono::milliseconds(600);
+    /// had at the upstream and the parts that were answered. Longer than the upstreams of a group
+    /// take to cut off the answers that depend on the ended one: these show which parts they
+    /// survived.
+    duration decision_delay = std::chrono::seconds(2);
     /// A crash that no quarantined part explains is remembered for this time.
     duration evidence_time = std::chrono::minutes(10);
     /// Length of the first quarantine of a part. Afterwards one more crash suffices, and the next
     /// quarantine is twice as long.
     duration quarantine_time = std::chrono::minutes(10);
     duration max_quarantine_time = std::chrono::hours(24);
+    /// Share of the requests from which a quarantine is tested with one request, in case it is
+    /// wrong.
+    double min_tested_share = 0.1;
+    unsigned min_tested_requests = 5; ///< refused requests from which that share is known
+    /// Time from the quarantine to its test, in which the upstreams recover.
+    duration test_delay = std::chrono::seconds(4);
     /// A part that was answered within this time is not taken for the cause of a single crash.
     duration trust_time = std::chrono::seconds(30);
     /// Changes are reported to the peers for this time, so that a lost report does not matter.
@@ -45,6 +53,7 @@
     time_point since{};
     time_point until{};
     bool is_stored = false; ///< a gateway has written it to the store
+    bool is_tested = false; ///< a request was let through to test the quarantine
 };
 
 /// What a gateway knows of crashes, as sent to its peers. Times are ages, because the clocks of two
@@ -68,6 +77,7 @@
         duration since{};
         duration left{};
         bool is_stored = false;
+        bool is_tested = false;
     };
 
     std::vector<crash> crashes;
@@ -81,10 +91,11 @@
 /// A crash alone does not show which of the requests at the upstream caused it. A part becomes
 /// suspicious with each crash at which a request with it was unanswered, and any answer to a
 /// request with it clears it. Crashes count as separate only if the later request was sent after
-/// the earlier crash, so that upstreams that fail together count once. Of the parts that explain
-/// most crashes, the one whose refusal affects the fewest requests is quarantined; it explains
-/// these crashes, and what remains is decided in the same way. Gateways exchange what they see, as
-/// each sees only its own requests. Not thread safe.
+/// the earlier crash, so that upstreams that fail together count once. Of the suspicious
+/// parts, the one with the most crashes for its requests is quarantined; it explains these crashes,
+/// and what remains is decided in the same way. A quarantined part that many requests hold is
+/// tested with one of them. Gateways exchange what they see, as each sees only its own requests.
+/// Not thread safe.
 class prompt_quarantine {
 public:
     explicit prompt_quarantine(quarantine_options options = {});
@@ -115,6 +126,13 @@
     [[nodiscard]] std::optional<time_point> refused_until(const std::vector<std::string>& parts,
                                                           time_point now) const;
 
+    /// Decides whether a request that would be refused is sent all the same, to test a quarantine
+    /// that affects many requests. Each quarantine is tested once.
+    /// @param parts of the prompt
+    /// @param now the current time
+    /// @return whether the request is sent; if so, it must not be repeated
+    [[nodiscard]] bool try_test(const std::vector<std::string>& parts, time_point now);
+
     /// @param parts of the prompt of a request that was unanswered when its upstream ended
     /// @param now the current time
     /// @return whether the request may be the cause, and so may end another upstream
@@ -172,6 +190,12 @@
     std::map<std::uint64_t, crash_state> crashes_; ///< by upstream
     /// By name. A quarantine that has passed is kept as long again; see quarantine_time.
     std::map<std::string, quarantined_part> quarantined_;
+    /// Requests since each quarantine began here: all, and those that only this part had refused.
+    struct refusal_count {
+        std::uint64_t requests = 0;
+        std::uint64_t refused = 0;
+    };
+    std::map<std::string, refusal_count> refusals_;
     std::set<std::string> disputed_; ///< quarantined by a peer, although they were answered since
     std::optional<time_point> next_decision_;
     time_point next_forget_{};
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -54,9 +54,20 @@
 
 void soak_store::put_upstream(const soak_upstream& upstream, const std::string& state)
 {
-    this->put("keyed.servers", upstream.name(),
+    this->put_upstream(upstream.name(), upstream.address(), state);
+}
+
+void soak_store::remove_upstream(const std::string& name)
+{
+    this->put("keyed.servers", name, "");
+}
+
+void soak_store::put_upstream(const std::string& name, const std::string& address,
+                              const std::string& state)
+{
+    this->put("keyed.servers", name,
               nlohmann::json{{"service", service_name},
-                             {"address", upstream.address()},
+                             {"address", address},
                              {"zone", "dc-0"},
                              {"slots", 8},
                              {"state", state}}
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -46,6 +46,16 @@
     /// @param state `ready` or `draining`
     void put_upstream(const soak_upstream& upstream, const std::string& state);
 
+    /// Writes the membership record of an upstream.
+    /// @param name name of the upstream
+    /// @param address IPv4 address and port
+    /// @param state `ready` or `draining`
+    void put_upstream(const std::string& name, const std::string& address,
+                      const std::string& state);
+
+    /// Deletes the membership record of an upstream.
+    void remove_upstream(const std::string& name);
+
     /// Writes a configuration record.
     /// @param version version of the configuration; must increase with each call
     /// @param routes complete list of routes
--- a/Tests/fakes/raw_socket.cxx
+++ b/Tests/fakes/raw_socket.cxx
@@ -37,7 +37,7 @@
 
 int connect_to(const std::string& address)
 {
-    const int descriptor = check(socket(AF_INET, SOCK_STREAM, 0), "socket");
+    const int descriptor = check(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket");
     const auto target = parse_address(address);
     check(connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof target),
           "connect");
@@ -110,7 +110,8 @@
     return poll(&entry, 1, static_cast<int>(limit.count())) > 0 && (entry.revents & POLLERR) != 0;
 }
 
-raw_listener::raw_listener() : descriptor_(check(socket(AF_INET, SOCK_STREAM, 0), "socket"))
+raw_listener::raw_listener()
+    : descriptor_(check(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), "socket"))
 {
     const int enabled = 1;
     setsockopt(this->descriptor_, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
@@ -130,7 +131,8 @@
 
 raw_connection raw_listener::accept() const
 {
-    return raw_connection(check(::accept(this->descriptor_, nullptr, nullptr), "accept"));
+    return raw_connection(
+        check(::accept4(this->descriptor_, nullptr, nullptr, SOCK_CLOEXEC), "accept"));
 }
 
 bool raw_listener::has_pending() const
--- a/Tests/fakes/tcp_proxy.cxx
+++ b/Tests/fakes/tcp_proxy.cxx
@@ -102,7 +102,8 @@
 
 void tcp_proxy::accept()
 {
-    const int caller_descriptor = ::accept(this->listener_.descriptor(), nullptr, nullptr);
+    const int caller_descriptor =
+        ::accept4(this->listener_.descriptor(), nullptr, nullptr, SOCK_CLOEXEC);
     try {
         const int server_descriptor = connect_to(this->server_);
         this->relays_.push_back({caller_descriptor, server_descriptor, ++this->opened_});
--- a/Tests/gateway/gateway_fixture.cxx
+++ b/Tests/gateway/gateway_fixture.cxx
@@ -57,9 +57,14 @@
     config.organisations_by_key["key-1"] = {"org-1", std::nullopt};
     active_state =
         std::make_unique<config_state>([this](std::string_view) { return this->config; });
-    tested_gateway = std::make_unique<gateway>(
-        context, clock, gateway_options{test_protocol(), "dc-1", {0.2, 100, 10s}, 1},
-        *active_state);
+    gateway_options options;
+    options.protocol = test_protocol();
+    options.data_centre = "dc-1";
+    options.retry_budget = {0.2, 100, 10s};
+    options.seed = 1;
+    options.quarantine.decision_delay = 600ms;
+    options.quarantine.test_delay = 1s;
+    tested_gateway = std::make_unique<gateway>(context, clock, options, *active_state);
     server = std::make_unique<transport::http_server>(
         context, transport::http_server_options{.address = "127.0.0.1:0"},
         [this](const transport::http_request& request,
