gateway, tests: Log lifted quarantines; play crashing engines and unframed answers

A quarantine that an answer ended left no line in the log, nor did a stored one that cannot be used. Test: an unframed answer ends with its connection, and a reset one is not complete (passes on the old code too).

--- a/Source/gateway/prompt_guard.cxx
+++ b/Source/gateway/prompt_guard.cxx
@@ -55,6 +55,10 @@
 void prompt_guard::tick()
 {
     this->announce(this->quarantine_.decide(this->clock_.now()), "crashes");
+    for (const auto& part : this->quarantine_.take_lifted()) {
+        this->log_.note(log_level::warning, "quarantine lifted after an answer",
+                        {{"prompt_part", part}});
+    }
 }
 
 std::optional<policy::quarantine_report> prompt_guard::report()
--- a/Source/gateway/quarantine_store.cxx
+++ b/Source/gateway/quarantine_store.cxx
@@ -42,6 +42,10 @@
             if (part) {
                 self->guard_.adopt(*part);
             }
+            else {
+                self->log_.sample(log_level::info, "stored quarantine has passed or is unreadable",
+                                  {{"prompt_part", record.key}});
+            }
         }
     });
 }
--- a/Source/policy/prompt_quarantine.cxx
+++ b/Source/policy/prompt_quarantine.cxx
@@ -98,6 +98,7 @@
     if (quarantine != this->quarantined_.end() && answered_at > quarantine->second.since) {
         this->quarantined_.erase(quarantine);
         this->refusals_.erase(part);
+        this->lifted_.push_back(part);
         this->report_again(now);
     }
 }
@@ -206,7 +207,7 @@
         length = std::min(2 * (earlier->second.until - earlier->second.since),
                           this->options_.max_quarantine_time);
     }
-    const quarantined_part result{part, now, now + length};
+    quarantined_part result{part, now, now + length};
     this->quarantined_[part] = result;
     this->refusals_[part] = {};
     this->report_again(now);
--- a/Source/policy/prompt_quarantine.h
+++ b/Source/policy/prompt_quarantine.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -161,6 +162,12 @@
     /// Notes that a quarantine was written to the store.
     void on_stored(const std::string& part, time_point now);
 
+    /// @return the parts whose quarantine an answer has ended since the last call
+    [[nodiscard]] std::vector<std::string> take_lifted()
+    {
+        return std::exchange(this->lifted_, {});
+    }
+
     /// @param now the current time
     /// @return the quarantined parts, sorted by name
     [[nodiscard]] std::vector<quarantined_part> quarantined(time_point now) const;
@@ -197,6 +204,7 @@
     };
     std::map<std::string, refusal_count> refusals_;
     std::set<std::string> disputed_; ///< quarantined by a peer, although they were answered since
+    std::vector<std::string> lifted_;
     std::optional<time_point> next_decision_;
     time_point next_forget_{};
     time_point report_until_{};
--- a/Tests/fakes/raw_socket.cxx
+++ b/Tests/fakes/raw_socket.cxx
@@ -67,6 +67,13 @@
     }
 }
 
+void raw_connection::reset_on_close() const
+{
+    const linger option{1, 0};
+    check(setsockopt(this->descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option)),
+          "setsockopt");
+}
+
 std::string raw_connection::read_until(std::string_view marker) const
 {
     std::string text;
--- a/Tests/fakes/raw_socket.h
+++ b/Tests/fakes/raw_socket.h
@@ -36,6 +36,9 @@
     /// @throws std::system_error if sending fails
     void send(std::string_view bytes) const { send_all(this->descriptor_, bytes); }
 
+    /// Makes the destructor reset the connection instead of closing it in the usual way.
+    void reset_on_close() const;
+
     /// Reads until the bytes end with a marker or the connection ends.
     /// @return the bytes, with the marker if it came
     [[nodiscard]] std::string read_until(std::string_view marker) const;
--- a/Tests/gateway/test_crashing_prompts.cxx
+++ b/Tests/gateway/test_crashing_prompts.cxx
@@ -99,3 +99,29 @@
         cr_expect(upstreams.crashing_requests() - before <= max_later_requests);
     }
 }
+
+// Guards against an answer without a length or chunks that is taken for complete although its
+// connection was reset, and one that is refused although it ended with its connection.
+Test(crashing_prompts, unframed_answers_end_with_their_connection, .timeout = 30)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r-1\r\nX-Signature: s\r\n\r\n";
+    for (const bool is_reset : {false, true}) {
+        gateway_fixture fixture(1);
+        fixture.configure();
+        const auto caller =
+            fixture.call("/safe/a", "Authorization: Bearer key-1\r\nConnection: close\r\n");
+        {
+            const auto upstream = fixture.upstreams[0]->accept();
+            (void)upstream.read_until("\r\n\r\n");
+            upstream.send(head + "{\"a\":1}");
+            std::this_thread::sleep_for(50ms);
+            if (is_reset) {
+                upstream.reset_on_close();
+            }
+        }
+        const auto answer = caller.read_all();
+        cr_expect(answer.starts_with(is_reset ? "HTTP/1.1 502" : "HTTP/1.1 200"), "%s",
+                  answer.c_str());
+        cr_expect(is_reset || answer.ends_with("{\"a\":1}"));
+    }
+}
--- a/Tests/policy/test_prompt_quarantine.cxx
+++ b/Tests/policy/test_prompt_quarantine.cxx
@@ -232,6 +232,7 @@
     cr_assert(tests == 1);
     it.on_answered({"m/first", "m/b"}, start + 11s);
     cr_assert(!it.refused_until({"m/first"}, start + 11s).has_value());
+    cr_assert(it.take_lifted() == part_list{"m/first"} && it.take_lifted().empty());
     cr_assert(!it.adopt({"m/first", start, start + 10min}, start + 12s), "known to be wrong");
 }
 
