--- a/Tests/Soak/prompt_soak_run.cxx
+++ b/Tests/Soak/prompt_soak_run.cxx
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "fakes/raw_socket.h"
 #include "Soak/soak_caller.h"
@@ -102,14 +103,15 @@
     for (unsigned number = 0; !this->stopping_; ++number) {
         const auto gateway = static_cast<unsigned>(random() % this->gateways_.size());
         const bool is_crashing = random() % this->options_.crashing_share == 0;
-        const auto other = fmt::format("b{}:30", random() % 4);
-        const auto bad = fmt::format("{}:20", this->parts_[random() % this->parts_.size()]);
-        const auto own = fmt::format("f{}x{}:9", seed, number);
-        const auto prompt =
-            is_crashing
-                ? fmt::format("aa00:40,{},{}",
-                              random() % 2 == 0 ? other + "," + bad : bad + "," + other, own)
-                : fmt::format("aa00:40,{},{}", other, own);
+        // The crashing part is the second or the third one.
+        std::vector<std::string> parts{"aa00:40", fmt::format("b{}:30", random() % 4)};
+        if (is_crashing) {
+            const auto at = 1 + static_cast<std::ptrdiff_t>(random() % 2);
+            parts.insert(parts.begin() + at,
+                         fmt::format("{}:20", this->parts_[random() % this->parts_.size()]));
+        }
+        parts.push_back(fmt::format("f{}x{}:9", seed, number));
+        const auto prompt = fmt::format("{}", fmt::join(parts, ","));
         const auto sent_at = timer::now();
         bool is_served = false;
         try {
