policy: Decide again when a quarantine is lifted; store that it was tested

Found by reading: the crashes that a wrongly blamed part had explained were decided again only at the next crash, and a restart of all gateways forgot that a quarantine had been tested, so each restart would have let one more request through. Test crashes_of_a_lifted_part_are_decided_again fails without the change (the second decision was empty); all 8 cases pass.

--- a/Source/gateway/prompt_guard.cxx
+++ b/Source/gateway/prompt_guard.cxx
@@ -38,6 +38,7 @@
         return false;
     }
     this->log_.note(log_level::warning, "quarantine is tested with one request", {});
+    this->on_quarantined_(this->quarantined());
     return true;
 }
 
--- a/Source/policy/prompt_quarantine.cxx
+++ b/Source/policy/prompt_quarantine.cxx
@@ -99,6 +99,7 @@
         this->quarantined_.erase(quarantine);
         this->refusals_.erase(part);
         this->lifted_.push_back(part);
+        this->next_decision_ = now; // its crashes have another cause
         this->report_again(now);
     }
 }
@@ -249,6 +250,7 @@
         return false;
     }
     it.is_tested = true;
+    it.is_stored = false; // written again, so that a restart does not repeat the test
     this->report_again(now);
     return true;
 }
--- a/Tests/policy/test_prompt_quarantine.cxx
+++ b/Tests/policy/test_prompt_quarantine.cxx
@@ -236,6 +236,22 @@
     cr_assert(!it.adopt({"m/first", start, start + 10min}, start + 12s), "known to be wrong");
 }
 
+// Guards against a cause that stays unknown because a sound part was blamed for its crashes first.
+Test(prompt_quarantine, crashes_of_a_lifted_part_are_decided_again)
+{
+    prompt_quarantine it;
+    for (unsigned n = 0; n < 20; ++n) {
+        it.on_request({"m/bad"}, start); // more than of the other part
+    }
+    it.on_crash(crash_of(1, start, {"m/b", "m/bad"}), start);
+    it.on_crash(crash_of(2, start + 4s, {"m/b", "m/bad"}), start + 4s);
+    const auto wrong = it.decide(start + 7s);
+    cr_assert(wrong.size() == 1 && wrong[0].part == "m/b");
+    it.on_answered({"m/b"}, start + 8s);
+    const auto decided = it.decide(start + 8s);
+    cr_assert(decided.size() == 1 && decided[0].part == "m/bad");
+}
+
 // Guards against a quarantine that ends for good: one more crash renews it, for twice the time.
 Test(prompt_quarantine, a_part_that_crashes_again_is_quarantined_for_longer)
 {
