gateway: Log and count the rate limits that upstreams name

Logs and metrics could not tell whether gateways ignore a limit, prefer the limited engine, or reach it with repeats. Each named and ended limit is logged with its value and status, each attempt at a limited upstream with whether it is a repeat. No decision is changed.

--- a/Source/gateway/caller_protocol.h
+++ b/Source/gateway/caller_protocol.h
@@ -19,6 +19,9 @@
     std::string model;         ///< name of the model
     std::string signature;     ///< present in each response that an upstream generated
     std::string not_run;       ///< present if the upstream did not run the request
+    /// Requests a second that the upstream takes from all gateways together, as a decimal number;
+    /// missing if it has no limit.
+    std::string rate_limit;
     std::string last_event_id; ///< id of the last event received; resumes a stream after it
 };
 
--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -177,7 +177,8 @@
     if (!dispatcher) {
         dispatcher = std::make_shared<service_dispatcher>(
             this->context_, this->clock_, this->options_.protocol, this->metrics_,
-            this->held_bytes_, this->guard_, name, hash64(name, this->options_.seed));
+            this->held_bytes_, this->guard_, this->limits_, name,
+            hash64(name, this->options_.seed));
         dispatcher->set_retry_budget(this->options_.retry_budget, this->gateway_count_);
         dispatcher->set_remote_load(this->remote_load_);
         if (this->config_.active().config) {
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "gateway/config_state.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/prompt_guard.h"
+#include "gateway/rate_limits.h"
 #include "gateway/request_filters.h"
 #include "gateway/service_dispatcher.h"
 #include "model/upstream_entry.h"
@@ -105,6 +106,7 @@
     policy::byte_budget held_bytes_{options_.max_held_response_bytes};
     prompt_guard::quarantine_handler on_quarantined_;
     prompt_guard guard_;
+    rate_limits limits_{clock_, metrics_};
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -102,6 +102,7 @@
         {std::min<duration>(connect_timeout, time_left), time_left, time_left, time_left},
         this->make_event_handlers(this->attempt_count_));
     this->attempt_->exchange = std::move(exchange);
+    this->dispatcher_->limits().on_sent(target.incarnation, this->attempt_count_ > 1);
 }
 
 transport::http_request proxied_request::make_upstream_request(const upstream_target& target) const
@@ -165,6 +166,12 @@
     it.is_streamed = this->details_.route->is_stream && is_success(head.status);
     const bool is_signed =
         !transport::find_header(head.headers, this->dispatcher_->protocol().signature).empty();
+    // Bytes of a faulty upstream without a signature say nothing of its limit.
+    if (is_signed) {
+        this->dispatcher_->limits().on_answer(
+            it.target.incarnation, it.target.id, head.status,
+            transport::find_header(head.headers, this->dispatcher_->protocol().rate_limit));
+    }
     const bool is_encoded = !transport::find_header(head.headers, "Content-Encoding").empty();
     if (is_success(head.status) && (!is_signed || is_encoded)) {
         // Cancelled before the end of the body, so that the connection is not reused.
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -22,10 +22,10 @@
 service_dispatcher::service_dispatcher(transport::runtime& context, const clock_source& clock,
                                        const caller_protocol& protocol, gateway_metrics& metrics,
                                        policy::byte_budget& held_bytes, prompt_guard& guard,
-                                       std::string name, std::uint64_t seed)
+                                       rate_limits& limits, std::string name, std::uint64_t seed)
     : context_(context), clock_(clock), protocol_(protocol), metrics_(metrics),
-      held_bytes_(held_bytes), guard_(guard), name_(std::move(name)), scheduler_({}, seed),
-      wait_policy_({}, seed + 1)
+      held_bytes_(held_bytes), guard_(guard), limits_(limits), name_(std::move(name)),
+      scheduler_({}, seed), wait_policy_({}, seed + 1)
 {
 }
 
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -12,6 +12,7 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/prompt_guard.h"
+#include "gateway/rate_limits.h"
 #include "model/route_config.h"
 #include "model/upstream_entry.h"
 #include "policy/attempt_budget.h"
@@ -41,8 +42,8 @@
 public:
     service_dispatcher(transport::runtime& context, const clock_source& clock,
                        const caller_protocol& protocol, gateway_metrics& metrics,
-                       policy::byte_budget& held_bytes, prompt_guard& guard, std::string name,
-                       std::uint64_t seed);
+                       policy::byte_budget& held_bytes, prompt_guard& guard, rate_limits& limits,
+                       std::string name, std::uint64_t seed);
 
     /// Replaces the upstreams of the service.
     void set_upstreams(const std::vector<model::upstream_entry>& upstreams,
@@ -112,6 +113,7 @@
     /// @return budget of the responses that this gateway holds
     [[nodiscard]] policy::byte_budget& held_bytes() { return this->held_bytes_; }
     [[nodiscard]] prompt_guard& guard() { return this->guard_; }
+    [[nodiscard]] rate_limits& limits() { return this->limits_; }
     [[nodiscard]] policy::waiting_policy& wait_policy() { return this->wait_policy_; }
     [[nodiscard]] const policy::upstream_scheduler& scheduler() const { return this->scheduler_; }
     [[nodiscard]] const policy::step_time_limit& step_limit() const { return this->step_limit_; }
@@ -132,6 +134,7 @@
     gateway_metrics& metrics_;
     policy::byte_budget& held_bytes_;
     prompt_guard& guard_;
+    rate_limits& limits_;
     std::string name_;
     policy::upstream_scheduler scheduler_;
     policy::waiting_policy wait_policy_;
--- a/Tests/gateway/gateway_fixture.cxx
+++ b/Tests/gateway/gateway_fixture.cxx
@@ -23,6 +23,7 @@
     names.model = "X-Model";
     names.signature = "X-Signature";
     names.not_run = "X-Not-Run";
+    names.rate_limit = "X-Limit";
     names.last_event_id = "Last-Event-Id";
     return names;
 }
