gateway, policy: Keep the rate limits that upstreams name, over all gateways

Cause: no code read the limit, and least-load selection knows slots only.

For each limited upstream one serving gateway (highest hash of both names) accrues the allowance and issues every single request as a permit, to a gateway drawn by demand; permits and limits travel in heartbeats. Repeats, resumed streams, probes and tests of quarantines pass the same gate in the scheduler. A new responsible gateway starts after 1 s and without allowance, a minority of the known gateways issues its share only, permits end after 1 s. A limit ends with the first answer without it. Limited upstreams are left out of the capacity and of the mean that the step time limit uses, so nothing is pushed onto the others; requests that the limits cannot admit in time are refused at once.

Evidence: test rate_limits, 3 of 4 cases red before, passes now.

--- a/Source/gateway/caller_protocol.h
+++ b/Source/gateway/caller_protocol.h
@@ -16,9 +16,9 @@
     /// Parts of the prompt in order, as comma-separated ID:TOKENS entries; requests share all parts
     /// but the last.
     std::string prompt_parts;
-    std::string model;         ///< name of the model
-    std::string signature;     ///< present in each response that an upstream generated
-    std::string not_run;       ///< present if the upstream did not run the request
+    std::string model;     ///< name of the model
+    std::string signature; ///< present in each response that an upstream generated
+    std::string not_run;   ///< present if the upstream did not run the request
     /// Requests a second that the upstream takes from all gateways together, as a decimal number;
     /// missing if it has no limit.
     std::string rate_limit;
--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -143,6 +143,7 @@
 
 void gateway::tick()
 {
+    this->limits_.tick();
     for (const auto& [name, dispatcher] : this->dispatchers_) {
         dispatcher->tick();
     }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -27,6 +27,7 @@
 
 struct gateway_options {
     caller_protocol protocol;
+    std::string instance; ///< name of the gateway
     std::string data_centre;
     policy::attempt_budget_options retry_budget; ///< shared by all gateways
     std::uint64_t seed = 0;                      ///< seeds the random choices
@@ -86,6 +87,7 @@
     [[nodiscard]] std::size_t open_requests() const { return this->open_requests_.size(); }
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
     [[nodiscard]] prompt_guard& guard() { return this->guard_; }
+    [[nodiscard]] rate_limits& limits() { return this->limits_; }
 
 private:
     std::shared_ptr<service_dispatcher> dispatcher_for(const std::string& name);
@@ -106,7 +108,7 @@
     policy::byte_budget held_bytes_{options_.max_held_response_bytes};
     prompt_guard::quarantine_handler on_quarantined_;
     prompt_guard guard_;
-    rate_limits limits_{clock_, metrics_};
+    rate_limits limits_{clock_, metrics_, options_.instance, options_.seed};
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -39,6 +39,10 @@
 // callers cache the directory's addresses for a few seconds.
 constexpr auto min_idle_time_before_stop = std::chrono::milliseconds(1500);
 
+// Peers learn after this time that an answer has changed a rate limit. Limits that change together
+// are reported together.
+constexpr auto limit_report_delay = std::chrono::milliseconds(20);
+
 // Time to send the last bytes of a response.
 constexpr auto flush_time = std::chrono::milliseconds(200);
 
@@ -64,6 +68,7 @@
 {
     gateway_options options;
     options.protocol = adapter.protocol;
+    options.instance = settings.instance;
     options.data_centre = settings.data_centre;
     options.retry_budget = settings.retry_budget;
     options.seed = random_number();
@@ -184,11 +189,13 @@
                 this->upstream_follower_ ? this->upstream_follower_->position() : 0;
             heartbeat.running = this->gateway_.running_by_upstream();
             heartbeat.quarantine = this->gateway_.guard().report();
+            this->gateway_.limits().fill(heartbeat);
         },
         [this](const policy::peer_heartbeat& heartbeat, bool was_silent) {
             this->on_peer_heartbeat(heartbeat, was_silent);
         });
     this->peer_exchange_->add_addresses(this->settings_.seeds);
+    this->gateway_.limits().on_changed([this] { this->report_limits_soon(); });
     this->peer_exchange_->start();
 }
 
@@ -357,6 +364,7 @@
     if (heartbeat.quarantine) {
         this->gateway_.guard().merge(*heartbeat.quarantine);
     }
+    this->gateway_.limits().on_heartbeat(heartbeat);
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
     this->gateway_.set_remote_load(this->peer_exchange_->table().running(now), alive.size() + 1);
@@ -380,6 +388,16 @@
     }
 }
 
+void gateway_process::report_limits_soon()
+{
+    if (!std::exchange(this->is_reporting_limits_, true)) {
+        this->context_.after(limit_report_delay, [this] {
+            this->is_reporting_limits_ = false;
+            this->peer_exchange_->send_now();
+        });
+    }
+}
+
 void gateway_process::fetch_config(const std::string& control_address)
 {
     if (this->is_fetching_config_) {
@@ -409,6 +427,9 @@
     if (this->registry_.expire(this->clock_.now())) {
         this->update_upstreams();
     }
+    const auto& peers = this->peer_exchange_->table();
+    this->gateway_.limits().set_gateways(peers.alive_peers(this->clock_.now()), peers.known(),
+                                         this->is_ready());
     this->gateway_.tick();
     this->update_coordinator_role();
 }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -108,6 +108,9 @@
     /// Updates the load of other gateways, and catches up if one has newer data.
     void on_peer_heartbeat(const policy::peer_heartbeat& heartbeat, bool was_silent);
 
+    /// Sends a heartbeat soon, because a rate limit has changed.
+    void report_limits_soon();
+
     /// Fetches a newer configuration from another gateway, in case the store does not answer.
     void fetch_config(const std::string& control_address);
     void update_upstreams();
@@ -170,6 +173,7 @@
     std::optional<time_point> peer_ahead_since_;
     bool is_fetching_config_ = false;
     bool is_draining_ = false;
+    bool is_reporting_limits_ = false; ///< a heartbeat about rate limits is due
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/quarantine_codec.h"
+#include "gateway/rate_limit_codec.h"
 #include "model/wire.pb.h"
 #include "transport/address_text.h"
 
@@ -18,7 +19,7 @@
 constexpr std::size_t max_logged_address = 40;
 
 std::string encode(const policy::peer_heartbeat& heartbeat,
-                   const std::vector<std::string>& live_addresses)
+                   const std::vector<std::string>& live_addresses, time_point now)
 {
     wire::gateway_beat message;
     message.set_instance(heartbeat.instance);
@@ -41,6 +42,7 @@
     if (heartbeat.quarantine) {
         write_report(*heartbeat.quarantine, message);
     }
+    write_rate_limits(heartbeat, now, message);
     return message.SerializeAsString();
 }
 
@@ -53,7 +55,7 @@
             transport::is_address_and_port(heartbeat.caller_address));
 }
 
-policy::peer_heartbeat decode(const wire::gateway_beat& message)
+policy::peer_heartbeat decode(const wire::gateway_beat& message, time_point now)
 {
     policy::peer_heartbeat heartbeat;
     heartbeat.instance = message.instance();
@@ -73,6 +75,7 @@
     if (message.crash_size() + message.answer_size() + message.quarantine_size() > 0) {
         heartbeat.quarantine = read_report(message);
     }
+    read_rate_limits(message, now, heartbeat);
     return heartbeat;
 }
 
@@ -128,14 +131,18 @@
         message.instance().empty() || message.instance() == this->own_heartbeat_.instance) {
         return;
     }
-    const auto heartbeat = decode(message);
+    const auto now = this->clock_.now();
+    auto heartbeat = decode(message, now);
     if (!has_usable_addresses(heartbeat)) {
         this->log_.sample(log_level::warning, "heartbeat without usable addresses", {});
         return;
     }
     this->add_addresses({heartbeat.beat_address});
     this->add_addresses({message.known_address().begin(), message.known_address().end()});
-    const bool was_silent = this->table_.on_heartbeat(heartbeat, this->clock_.now());
+    if (!this->table_.is_new(heartbeat)) {
+        heartbeat.permits.clear(); // a duplicate
+    }
+    const bool was_silent = this->table_.on_heartbeat(heartbeat, now);
     if (was_silent) {
         this->log_.note(log_level::info, "peer heard",
                         {{"peer", heartbeat.instance},
@@ -156,7 +163,7 @@
     for (const auto* peer : this->table_.alive_peers(now)) {
         live_addresses.push_back(peer->beat_address);
     }
-    const auto data = encode(this->own_heartbeat_, live_addresses);
+    const auto data = encode(this->own_heartbeat_, live_addresses, now);
     for (const auto& address : this->addresses_) {
         this->socket_->send(data, address);
     }
--- a/Source/gateway/rate_limits.cxx
+++ b/Source/gateway/rate_limits.cxx
@@ -5,6 +5,8 @@
 
 #include <fmt/format.h>
 
+#include "base/digest.h"
+
 namespace medlaryoke::gateway {
 
 namespace {
@@ -22,6 +24,12 @@
     return is_number && std::isfinite(value) && value >= 0 ? std::optional(value) : std::nullopt;
 }
 
+rate_limits::rate_limits(const clock_source& clock, gateway_metrics& metrics,
+                         std::string_view gateway, std::uint64_t seed)
+    : clock_(clock), metrics_(metrics), shared_(hash64(gateway), {}, seed)
+{
+}
+
 void rate_limits::on_answer(std::uint64_t upstream, const std::string& id, unsigned status,
                             std::string_view text)
 {
@@ -31,22 +39,32 @@
                           {{"upstream", id}, {"limit", text.substr(0, max_logged_limit)}});
         return;
     }
-    const auto earlier = this->table_.limit(upstream);
-    if (!this->table_.add({upstream, limit, this->clock_.now()})) {
-        return;
+    const auto earlier = this->shared_.limit(upstream);
+    if (this->shared_.add({upstream, limit, this->clock_.now()},
+                          policy::statement_source::answer)) {
+        this->note_change(upstream, id, earlier, fmt::format("answer {}", status));
+        if (this->on_changed_) {
+            this->on_changed_();
+        }
     }
+}
+
+void rate_limits::note_change(std::uint64_t upstream, std::string_view id,
+                              std::optional<double> earlier, std::string_view source)
+{
+    const auto limit = this->shared_.limit(upstream);
     this->metrics_.count(limit ? "rate_limits_named" : "rate_limits_ended");
     this->log_.sample(log_level::info, limit ? "rate limit named" : "rate limit ended",
                       {{"upstream", id},
+                       {"incarnation", fmt::format("{:016x}", upstream)},
                        {"per_second", limit.value_or(0)},
                        {"earlier", earlier.value_or(0)},
-                       {"status", static_cast<std::int64_t>(status)},
-                       {"source", "answer"}});
+                       {"source", source}});
 }
 
 void rate_limits::on_sent(std::uint64_t upstream, bool is_repeat)
 {
-    if (this->table_.limit(upstream)) {
+    if (this->shared_.limit(upstream)) {
         this->metrics_.count("attempts_to_limited",
                              fmt::format("repeat=\"{}\"", is_repeat ? "yes" : "no"));
         this->log_.sample(log_level::info, "attempt to limited upstream",
@@ -54,4 +72,43 @@
     }
 }
 
+void rate_limits::set_gateways(const std::vector<const policy::peer_heartbeat*>& peers,
+                               std::size_t known_count, bool is_serving)
+{
+    if (!this->shared_.has_limits()) {
+        return;
+    }
+    std::vector<policy::limit_sharer> sharers;
+    sharers.reserve(peers.size());
+    for (const auto* peer : peers) {
+        sharers.push_back({hash64(peer->instance), peer->serving, peer->demand});
+    }
+    this->shared_.set_gateways(std::move(sharers), known_count, is_serving);
+}
+
+void rate_limits::fill(policy::peer_heartbeat& heartbeat)
+{
+    heartbeat.limits = this->shared_.report();
+    heartbeat.demand = this->shared_.demand(this->clock_.now());
+    heartbeat.permits = this->shared_.take_issued();
+}
+
+void rate_limits::on_heartbeat(const policy::peer_heartbeat& heartbeat)
+{
+    for (const auto& statement : heartbeat.limits) {
+        const auto earlier = this->shared_.limit(statement.upstream);
+        if (this->shared_.add(statement, policy::statement_source::peer)) {
+            this->note_change(statement.upstream, {}, earlier, heartbeat.instance);
+        }
+    }
+    for (const auto& permit : heartbeat.permits) {
+        this->shared_.accept(permit, this->clock_.now());
+    }
+}
+
+void rate_limits::tick()
+{
+    this->shared_.tick(this->clock_.now());
+}
+
 } // namespace medlaryoke::gateway
--- a/Source/gateway/rate_limits.h
+++ b/Source/gateway/rate_limits.h
@@ -1,26 +1,37 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/event_log.h"
 #include "gateway/gateway_metrics.h"
-#include "policy/rate_limit_table.h"
+#include "policy/peer_table.h"
+#include "policy/shared_rate_limits.h"
 
 namespace medlaryoke::gateway {
 
-/// Reads the rate limits that upstreams name in their answers. Used on the gateway's thread.
+/// Reads the rate limits that upstreams name in their answers, and keeps them together with the
+/// other gateways; see policy::shared_rate_limits. Used on the gateway's thread.
 class rate_limits {
 public:
     /// @param clock source of the current time
     /// @param metrics receives the counters
-    rate_limits(const clock_source& clock, gateway_metrics& metrics)
-        : clock_(clock), metrics_(metrics)
-    {
-    }
+    /// @param gateway name of this gateway
+    /// @param seed of the random choices
+    rate_limits(const clock_source& clock, gateway_metrics& metrics, std::string_view gateway,
+                std::uint64_t seed);
+
+    /// @return the limits, for the schedulers of the services
+    [[nodiscard]] policy::shared_rate_limits& shared() { return this->shared_; }
+
+    /// @param handler called when an answer has changed a limit, so that peers learn it soon
+    void on_changed(std::function<void()> handler) { this->on_changed_ = std::move(handler); }
 
     /// Takes over what an answer says of the limit of its upstream.
     /// @param upstream hash of the id and the start time of the upstream
@@ -35,10 +46,30 @@
     /// @param is_repeat whether the request was sent before
     void on_sent(std::uint64_t upstream, bool is_repeat);
 
+    /// Replaces the gateways that share the limits.
+    /// @param peers those that are not silent
+    /// @param known_count number of peers, whether silent or not
+    /// @param is_serving whether this gateway accepts requests
+    void set_gateways(const std::vector<const policy::peer_heartbeat*>& peers,
+                      std::size_t known_count, bool is_serving);
+
+    /// Sets what the peers are to know.
+    void fill(policy::peer_heartbeat& heartbeat);
+
+    /// Takes over what a peer knows and the permits that it has issued.
+    void on_heartbeat(const policy::peer_heartbeat& heartbeat);
+
+    /// Issues permits; to be called every few tens of milliseconds.
+    void tick();
+
 private:
+    void note_change(std::uint64_t upstream, std::string_view id, std::optional<double> earlier,
+                     std::string_view source);
+
     const clock_source& clock_;
     gateway_metrics& metrics_;
-    policy::rate_limit_table table_;
+    policy::shared_rate_limits shared_;
+    std::function<void()> on_changed_;
     event_log log_{"limits"};
 };
 
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -27,13 +27,16 @@
       held_bytes_(held_bytes), guard_(guard), limits_(limits), name_(std::move(name)),
       scheduler_({}, seed), wait_policy_({}, seed + 1)
 {
+    this->scheduler_.set_rate_limits(this->limits_.shared());
 }
 
 void service_dispatcher::set_upstreams(const std::vector<model::upstream_entry>& upstreams,
                                        const std::string& own_data_centre)
 {
     std::unordered_map<std::uint64_t, connected_upstream> next;
+    std::vector<std::uint64_t> incarnations;
     for (const auto& entry : upstreams) {
+        incarnations.push_back(model::incarnation_hash(entry));
         const auto key = hash64(entry.id);
         const auto previous = this->upstreams_.find(key);
         const bool is_unchanged = previous != this->upstreams_.end() &&
@@ -45,6 +48,7 @@
                                                max_idle_time)};
     }
     this->upstreams_ = std::move(next);
+    this->limits_.shared().set_upstreams(hash64(this->name_), incarnations);
     this->scheduler_.set_upstreams(upstreams, own_data_centre);
     this->dispatch();
 }
@@ -65,6 +69,7 @@
 {
     const auto& details = request->details();
     this->retry_budget_.on_request(this->clock_.now());
+    this->limits_.shared().on_request(hash64(this->name_), this->clock_.now());
     this->queue(request, false, {},
                 this->wait_policy_.wait_until(details.arrived, details.route->target_latency,
                                               details.deadline, details.route->is_stream));
@@ -175,10 +180,8 @@
             const auto request = std::move(found->second);
             this->waiting_.erase(found);
             const auto& upstream = this->upstreams_.at(key);
-            const auto incarnation =
-                hash64(upstream.entry.id, static_cast<std::uint64_t>(upstream.entry.started_at));
-            request->on_assigned(
-                {key, incarnation, upstream.entry.id, upstream.entry.address, upstream.client});
+            request->on_assigned({key, model::incarnation_hash(upstream.entry), upstream.entry.id,
+                                  upstream.entry.address, upstream.client});
         }
     }
     this->dispatching_ = false;
--- a/Source/model/upstream_entry.h
+++ b/Source/model/upstream_entry.h
@@ -4,6 +4,8 @@
 #include <optional>
 #include <string>
 
+#include "base/digest.h"
+
 namespace medlaryoke::model {
 
 /// The lock-step group that an engine belongs to.
@@ -31,4 +33,11 @@
     bool operator==(const upstream_entry&) const = default;
 };
 
+/// @param entry entry of an upstream
+/// @return hash of the id and the start time
+inline std::uint64_t incarnation_hash(const upstream_entry& entry)
+{
+    return hash64(entry.id, static_cast<std::uint64_t>(entry.started_at));
+}
+
 } // namespace medlaryoke::model
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -4,6 +4,14 @@
 
 peer_table::peer_table(peer_table_options options) : options_(options) {}
 
+bool peer_table::is_new(const peer_heartbeat& heartbeat) const
+{
+    const auto found = this->peers_.find(heartbeat.instance);
+    return found == this->peers_.end() ||
+           found->second.heartbeat.incarnation != heartbeat.incarnation ||
+           heartbeat.number > found->second.heartbeat.number;
+}
+
 bool peer_table::on_heartbeat(const peer_heartbeat& heartbeat, time_point now)
 {
     const auto found = this->peers_.find(heartbeat.instance);
@@ -24,7 +32,10 @@
 void peer_table::store(peer_state& it, const peer_heartbeat& heartbeat, time_point now)
 {
     it = {heartbeat, now};
-    it.heartbeat.quarantine.reset(); // taken over when it comes
+    // Taken over when it comes.
+    it.heartbeat.quarantine.reset();
+    it.heartbeat.limits.clear();
+    it.heartbeat.permits.clear();
 }
 
 void peer_table::on_tick(time_point now)
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "policy/prompt_quarantine.h"
+#include "policy/shared_rate_limits.h"
 
 namespace medlaryoke::policy {
 
@@ -26,7 +27,10 @@
     std::uint64_t upstreams_position = 0; ///< how far it has read the list of upstreams
     std::unordered_map<std::uint64_t, unsigned> running; ///< running requests by upstream id
     std::optional<quarantine_report>
-        quarantine; ///< what the gateway knows of crashes, if it is new
+        quarantine;                           ///< what the gateway knows of crashes, if it is new
+    std::vector<rate_limit_statement> limits; ///< what it reports of rate limits
+    std::vector<rate_permit> permits;         ///< issued since its last heartbeat
+    service_demand demand;                    ///< for services with limited upstreams
 };
 
 /// Timeouts of a peer_table.
@@ -53,6 +57,9 @@
     /// @return whether the peer was unknown or silent before
     bool on_heartbeat(const peer_heartbeat& heartbeat, time_point now);
 
+    /// @return whether a heartbeat is newer than the last one of its peer
+    [[nodiscard]] bool is_new(const peer_heartbeat& heartbeat) const;
+
     /// Detects stalls of the local process and erases peers without heartbeats. Must be called
     /// regularly, more often than the stall threshold.
     void on_tick(time_point now);
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -27,6 +27,19 @@
 // only between upstreams with equal load.
 constexpr double local_data_centre_bonus = 0.3;
 
+// Longer than any request waits.
+constexpr auto longest_wait = std::chrono::hours(1);
+
+/// @param requests number of requests
+/// @param per_second rate at which they are admitted
+/// @return time until they have been admitted
+duration time_to_admit(double requests, double per_second)
+{
+    const auto seconds = requests <= 0 ? 0 : requests / per_second;
+    return std::chrono::duration_cast<duration>(std::min<std::chrono::duration<double>>(
+        std::chrono::duration<double>(seconds), longest_wait));
+}
+
 auto serving_order(const scheduled_request& it)
 {
     return std::tuple(it.organisation_rank, it.priority, !it.is_retry, it.arrived, it.id);
@@ -57,6 +70,7 @@
             it.backoff_until = {};
         }
         it.entry = entry;
+        it.incarnation = model::incarnation_hash(entry);
         it.listed = true;
         ids.push_back(id);
     }
@@ -92,18 +106,18 @@
     }
     for (auto it = this->waiting_.begin(); it != this->waiting_.end();) {
         auto chosen = this->choose_probe(*it, now);
-        if (!chosen && this->has_capacity(it->priority)) {
+        if (!chosen) {
             chosen = this->choose_upstream(*it, median, now);
         }
         if (chosen) {
-            this->record_dispatch(*it, *chosen);
+            this->record_dispatch(*it, *chosen, now);
             ready.push_back({it->id, *chosen});
             it = this->waiting_.erase(it);
             continue;
         }
         // Without capacity for this priority there is none for less urgent ones either. With
         // capacity, a later request with a shorter prompt may still fit.
-        if (!this->has_capacity(it->priority)) {
+        if (!this->has_capacity(it->priority) && !this->has_permit(now)) {
             break;
         }
         ++it;
@@ -114,17 +128,17 @@
 std::optional<assignment> upstream_scheduler::take_credited(double median, time_point now)
 {
     constexpr unsigned most_urgent = 0;
-    if (!this->has_capacity(most_urgent)) {
+    if (!this->has_capacity(most_urgent) && !this->has_permit(now)) {
         return std::nullopt;
     }
     for (auto it = this->waiting_.begin(); it != this->waiting_.end(); ++it) {
         if (it->priority == most_urgent || this->credits_[it->priority] < 1) {
             continue;
         }
-        if (const auto chosen = this->choose_upstream(*it, median, now)) {
+        if (const auto chosen = this->choose_upstream(*it, median, now, most_urgent)) {
             this->credits_[it->priority] -= 1;
             const assignment sent{it->id, *chosen};
-            this->record_dispatch(*it, *chosen);
+            this->record_dispatch(*it, *chosen, now);
             this->waiting_.erase(it);
             return sent;
         }
@@ -132,11 +146,15 @@
     return std::nullopt;
 }
 
-void upstream_scheduler::record_dispatch(const scheduled_request& request, std::uint64_t upstream)
+void upstream_scheduler::record_dispatch(const scheduled_request& request, std::uint64_t upstream,
+                                         time_point now)
 {
     constexpr double max_credit = 3;
     auto& target = this->upstreams_[upstream];
     ++target.own_running;
+    if (this->rate_limits_ != nullptr) {
+        this->rate_limits_->on_sent(target.incarnation, now);
+    }
     target.prefilling_tokens += request.prompt_tokens;
     std::set<unsigned> passed_over;
     for (const auto& it : this->waiting_) {
@@ -156,10 +174,12 @@
     std::vector<std::uint64_t> expired;
     std::size_t ahead = 0;
     std::erase_if(this->waiting_, [&](const scheduled_request& it) {
-        const auto wait = rate > 0
-                              ? std::chrono::duration<double>(static_cast<double>(ahead) / rate)
-                              : std::chrono::duration<double>(0);
-        if (now + std::chrono::duration_cast<duration>(wait) < it.wait_until) {
+        const auto limits = this->limits_for(it, now);
+        const auto wait = limits ? time_to_admit(static_cast<double>(ahead) + 1 - limits->at_once,
+                                                 limits->per_second)
+                          : rate > 0 ? time_to_admit(static_cast<double>(ahead), rate)
+                                     : duration::zero();
+        if (now + wait < it.wait_until) {
             ++ahead;
             return false;
         }
@@ -268,12 +288,60 @@
 
 double upstream_scheduler::mean_running() const
 {
-    const auto listed = this->listed_count();
-    std::size_t sum = 0;
+    const bool any_unlimited = std::ranges::any_of(this->upstreams_, [this](const auto& it) {
+        return it.second.listed && !this->is_limited(it.second);
+    });
+    double sum = 0;
+    double count = 0;
+    for (const auto& [id, it] : this->upstreams_) {
+        // An upstream at its rate limit runs few requests, and doesn't show what the others bear.
+        if (!any_unlimited || !this->is_limited(it)) {
+            sum += it.own_running + it.remote_running;
+            count += it.listed ? 1 : 0;
+        }
+    }
+    return count == 0 ? 0 : sum / count;
+}
+
+bool upstream_scheduler::is_limited(const upstream_state& it) const
+{
+    return this->rate_limits_ != nullptr && this->rate_limits_->limit(it.incarnation).has_value();
+}
+
+bool upstream_scheduler::is_permitted(const upstream_state& it, time_point now) const
+{
+    return !this->is_limited(it) || this->rate_limits_->permits(it.incarnation, now) > 0;
+}
+
+bool upstream_scheduler::has_permit(time_point now) const
+{
+    return this->rate_limits_ != nullptr && this->rate_limits_->has_limits() &&
+           std::ranges::any_of(this->upstreams_, [this, now](const auto& it) {
+               return it.second.accepts_requests() && this->is_limited(it.second) &&
+                      this->is_permitted(it.second, now);
+           });
+}
+
+std::optional<upstream_scheduler::limited_service>
+upstream_scheduler::limits_for(const scheduled_request& request, time_point now) const
+{
+    if (this->rate_limits_ == nullptr || !this->rate_limits_->has_limits()) {
+        return std::nullopt;
+    }
+    std::optional<limited_service> limits;
     for (const auto& [id, it] : this->upstreams_) {
-        sum += it.own_running + it.remote_running;
+        if (!it.accepts_requests() || this->outliers_.is_ejected(id) ||
+            std::ranges::find(request.excluded, id) != request.excluded.end()) {
+            continue;
+        }
+        if (!this->is_limited(it)) {
+            return std::nullopt;
+        }
+        limits = limits.value_or(limited_service{});
+        limits->per_second += this->rate_limits_->expected_rate(it.incarnation, now);
+        limits->at_once += static_cast<double>(this->rate_limits_->permits(it.incarnation, now));
     }
-    return listed == 0 ? 0 : static_cast<double>(sum) / static_cast<double>(listed);
+    return limits;
 }
 
 bool upstream_scheduler::has_capacity(unsigned priority) const
@@ -283,7 +351,8 @@
     double capacity = 0;
     double running = 0;
     for (const auto& [id, it] : this->upstreams_) {
-        if (it.accepts_requests()) {
+        // What a limited upstream may not take is not left to the others.
+        if (it.accepts_requests() && !this->is_limited(it)) {
             capacity += std::min(this->max_mean_running_, static_cast<double>(it.entry.slots));
             running += it.own_running + it.remote_running;
         }
@@ -305,7 +374,7 @@
 {
     const auto limit =
         std::min(static_cast<double>(it.entry.slots), std::ceil(this->max_mean_running_));
-    return it.accepts_requests() && it.backoff_until <= now &&
+    return it.accepts_requests() && it.backoff_until <= now && this->is_permitted(it, now) &&
            it.own_running + it.remote_running < limit &&
            it.prefilling_tokens + request.prompt_tokens <= this->max_prefill_tokens_ &&
            !this->outliers_.is_ejected(id) &&
@@ -344,11 +413,21 @@
 
 std::optional<std::uint64_t> upstream_scheduler::choose_upstream(const scheduled_request& request,
                                                                  double median, time_point now)
+{
+    return this->choose_upstream(request, median, now, request.priority);
+}
+
+std::optional<std::uint64_t> upstream_scheduler::choose_upstream(const scheduled_request& request,
+                                                                 double median, time_point now,
+                                                                 unsigned priority)
 {
     std::vector<std::uint64_t> best;
     double best_score = 0;
+    const bool has_capacity = this->has_capacity(priority);
     for (const auto& [id, it] : this->upstreams_) {
-        if (!this->can_accept(id, it, request, now)) {
+        // Permits are issued for single requests, so none of them is kept for urgent ones.
+        const bool is_free = this->is_limited(it) || has_capacity;
+        if (!is_free || !this->can_accept(id, it, request, now)) {
             continue;
         }
         const auto value = this->score(it, median, now);
@@ -375,6 +454,7 @@
     }
     for (const auto& [id, it] : this->upstreams_) {
         if (it.accepts_requests() && this->outliers_.is_ejected(id) &&
+            this->is_permitted(it, now) &&
             std::ranges::find(request.excluded, id) == request.excluded.end() &&
             this->outliers_.try_probe(id, now)) {
             return id;
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "model/upstream_entry.h"
 #include "policy/outlier_detector.h"
+#include "policy/shared_rate_limits.h"
 
 namespace medlaryoke::policy {
 
@@ -63,6 +64,10 @@
 public:
     upstream_scheduler(scheduler_options options, std::uint64_t seed);
 
+    /// Sets the rate limits of upstreams, which requests are assigned within.
+    /// @param limits limits of all services; must outlive the scheduler
+    void set_rate_limits(shared_rate_limits& limits) { this->rate_limits_ = &limits; }
+
     /// Replaces the list of upstreams. The state of upstreams that stay in the list is kept.
     /// @param upstreams all upstreams of the service
     /// @param own_data_centre data centre that is preferred between equally loaded upstreams
@@ -94,7 +99,8 @@
     [[nodiscard]] std::vector<assignment> take_ready(time_point now);
 
     /// Removes the requests whose wait_until has passed, and those that cannot be sent before it:
-    /// at the current completion rate, the requests ahead of them take all slots until then.
+    /// at the current completion rate, the requests ahead of them take all slots until then, or the
+    /// upstreams that are left to them have rate limits that admit no further request until then.
     /// @param now the current time
     /// @return ids of the removed requests
     [[nodiscard]] std::vector<std::uint64_t> take_expired(time_point now);
@@ -155,6 +161,7 @@
 private:
     struct upstream_state {
         model::upstream_entry entry;
+        std::uint64_t incarnation = 0; ///< hash of the id and the start time
         bool listed = true; ///< false while requests still run on an upstream that left the list
         unsigned own_running = 0;     ///< running requests of this gateway
         double prefilling_tokens = 0; ///< prompt tokens of own requests without a first event
@@ -168,18 +175,37 @@
             return this->listed && !this->entry.draining;
         }
     };
+    /// Requests that upstreams with rate limits take from this gateway.
+    struct limited_service {
+        double per_second = 0; ///< in the long run
+        double at_once = 0;    ///< now
+    };
     using state_map = std::map<std::uint64_t, upstream_state>;
 
+    /// @return whether upstreams without a rate limit have capacity for a priority
     [[nodiscard]] bool has_capacity(unsigned priority) const;
+
+    /// @return whether any upstream with a rate limit takes a request now
+    [[nodiscard]] bool has_permit(time_point now) const;
     [[nodiscard]] double completion_rate(time_point now) const;
+    [[nodiscard]] bool is_limited(const upstream_state& it) const;
+    [[nodiscard]] bool is_permitted(const upstream_state& it, time_point now) const;
+
+    /// @return what the upstreams take that the request may be sent to; empty if one of them has no
+    /// rate limit, or if there are none
+    [[nodiscard]] std::optional<limited_service> limits_for(const scheduled_request& request,
+                                                            time_point now) const;
     [[nodiscard]] bool can_accept(std::uint64_t id, const upstream_state& it,
                                   const scheduled_request& request, time_point now) const;
     [[nodiscard]] double median_latency(time_point now) const;
     [[nodiscard]] double score(const upstream_state& it, double median, time_point now) const;
     [[nodiscard]] std::optional<assignment> take_credited(double median, time_point now);
-    void record_dispatch(const scheduled_request& request, std::uint64_t upstream);
+    void record_dispatch(const scheduled_request& request, std::uint64_t upstream, time_point now);
     std::optional<std::uint64_t> choose_upstream(const scheduled_request& request, double median,
                                                  time_point now);
+    /// @param priority whose share of the capacity may be used
+    std::optional<std::uint64_t> choose_upstream(const scheduled_request& request, double median,
+                                                 time_point now, unsigned priority);
     std::optional<std::uint64_t> choose_probe(const scheduled_request& request, time_point now);
 
     scheduler_options options_;
@@ -187,6 +213,7 @@
     std::string own_data_centre_;
     state_map upstreams_;
     outlier_detector outliers_;
+    shared_rate_limits* rate_limits_ = nullptr;
     std::vector<scheduled_request> waiting_; ///< sorted by serving_order()
     std::map<unsigned, double> credits_;     ///< earned requests by priority; see starvation_credit
     double max_mean_running_;
