policy, gateway: Divide the retry budget among silent gateways too

Found by looking for the cause of LIMIT elsewhere: another limit of all gateways that each group of them takes for itself. Silent gateways count for 30 s, until the peer table erases them; after a real loss the rest have less meanwhile. Ruled out: quarantine tests (one tester by name), prompt quarantines (kept in the store).

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -367,7 +367,8 @@
     this->gateway_.limits().on_heartbeat(heartbeat);
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
-    this->gateway_.set_remote_load(this->peer_exchange_->table().running(now), alive.size() + 1);
+    this->gateway_.set_remote_load(this->peer_exchange_->table().running(now),
+                                   this->peer_exchange_->table().sharing_gateways());
     const auto newest =
         std::ranges::max_element(alive, {}, &policy::peer_heartbeat::config_version);
     if (newest != alive.end() && (*newest)->config_version > this->config_.version()) {
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -70,6 +70,10 @@
     /// @return running requests of the peers that are not silent, summed by upstream id
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running(time_point now) const;
 
+    /// @return number of gateways among which a limit of all gateways is divided: this one and its
+    /// peers, whether silent or not, as silent ones may only be cut off
+    [[nodiscard]] std::size_t sharing_gateways() const { return this->known() + 1; }
+
     /// @return number of peers in the table, whether silent or not
     [[nodiscard]] std::size_t known() const { return this->peers_.size(); }
 
