tests: Play upstreams that name rate limits, with gateway processes under faults

test_limit_soak: limits of 0 to 8 requests a second begin, change and end while gateways are killed (one or all), suspended and terminated, the store refuses, and streams are reset.

--- /dev/null
+++ b/Tests/Soak/limit_soak_main.cxx
@@ -0,0 +1,68 @@
+// Soak test of rate limits that upstreams name: runs each seed and prints one line of totals for
+// it. For a failed seed it also prints the violations, the injected faults and the directory of the
+// logs.
+
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include "fakes/product_program.h"
+#include "Soak/limit_soak_run.h"
+
+using namespace medlaryoke;
+
+namespace {
+
+/// Runs one seed.
+/// @return whether there were no violations
+bool run_seed(const soak::limit_soak_options& options)
+{
+    const auto directory = fakes::make_temporary_directory();
+    soak::limit_soak_run test(options, directory);
+    test.run();
+    const auto violations = test.violations();
+    fmt::print("seed {}: {}, {} violations\n", options.seed, test.totals(), violations.size());
+    if (violations.empty()) {
+        std::filesystem::remove_all(directory);
+        return true;
+    }
+    for (const auto& it : violations) {
+        fmt::print("  {}\n", it);
+    }
+    for (const auto& it : test.faults()) {
+        fmt::print("  fault at {}\n", it);
+    }
+    fmt::print("  logs: {}\n  again: test_limit_soak --seeds {} --gateways {} --upstreams {} "
+               "--seconds {}\n",
+               directory, options.seed, options.gateways, options.upstreams,
+               options.length.count());
+    return false;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    CLI::App app("Sends requests to upstreams that name rate limits, under faults.");
+    std::vector<unsigned> seeds;
+    soak::limit_soak_options options;
+    unsigned seconds = 16;
+    app.add_option("--seeds", seeds, "seeds of the faults and the requests")->required();
+    app.add_option("--gateways", options.gateways, "gateway processes");
+    app.add_option("--upstreams", options.upstreams, "upstreams");
+    app.add_option("--seconds", seconds, "length of each seed; at least 10");
+    CLI11_PARSE(app, argc, argv);
+    options.length = std::chrono::seconds(seconds);
+    bool all_passed = true;
+    for (const auto seed : seeds) {
+        options.seed = seed;
+        all_passed = run_seed(options) && all_passed;
+        std::fflush(stdout);
+    }
+    return all_passed ? 0 : 1;
+}
--- a/Tests/Soak/prompt_soak_run.cxx
+++ b/Tests/Soak/prompt_soak_run.cxx
@@ -1,7 +1,6 @@
 #include "Soak/prompt_soak_run.h"
 
 #include <algorithm>
-#include <csignal>
 #include <system_error>
 #include <utility>
 
@@ -17,8 +16,7 @@
 
 using namespace std::chrono_literals;
 
-// `stableWindowMs` of the small sites.
-constexpr auto stable_window = 3s;
+constexpr auto stable_window = gateway_faults::stable_window;
 constexpr unsigned crashes_until_bound = 5;
 constexpr unsigned max_later_requests = 3;
 constexpr double min_served_share = 0.5;
@@ -26,8 +24,6 @@
 
 constexpr unsigned caller_count = 6;
 constexpr auto pause_between_calls = 40ms;
-constexpr auto suspension_time = 1500ms;
-constexpr auto store_outage = 2s;
 constexpr auto poll_interval = 10ms;
 
 /// Sends a stream request on a new connection.
@@ -46,7 +42,7 @@
 } // namespace
 
 prompt_soak_run::prompt_soak_run(const prompt_soak_options& options, const std::string& directory)
-    : options_(options), random_(options.seed), store_(runtime_), resume_at_(options.gateways)
+    : options_(options), store_(runtime_)
 {
     this->runtime_.start();
     for (unsigned n = 0; n < options.crashing_parts; ++n) {
@@ -55,23 +51,14 @@
     const unsigned engine_count = 8 + 4 * options.crashing_parts;
     this->engines_ = std::make_unique<crashing_engines>(this->store_, engine_count, this->parts_);
     this->store_.put_configuration(1, {{"stream", "streaming", 2, true}});
-    for (unsigned n = 0; n < options.gateways; ++n) {
-        this->gateways_.push_back(std::make_unique<gateway_child>(directory, n, options.gateways,
-                                                                  this->store_.address()));
-        this->gateways_.back()->start();
-    }
-    for (const auto& gateway : this->gateways_) {
-        for (int n = 0; n < 1000 && get_status(gateway->readiness_address(), "/ready") != 200;
-             ++n) {
-            std::this_thread::sleep_for(poll_interval);
-        }
-    }
+    this->gateways_ =
+        std::make_unique<gateway_faults>(options.seed, options.gateways, this->store_, directory);
     this->started_ = timer::now();
 }
 
 prompt_soak_run::~prompt_soak_run()
 {
-    this->gateways_.clear();
+    this->gateways_.reset();
     this->engines_.reset();
     this->runtime_.stop();
 }
@@ -87,10 +74,9 @@
         // Ends early enough for the last part of the run to be in touch.
         if (timer::now() >= next_fault &&
             timer::now() < this->started_ + this->options_.length - 2 * stable_window) {
-            this->inject_fault();
-            next_fault = timer::now() + std::chrono::milliseconds(200 + this->random_() % 1500);
+            next_fault = timer::now() + this->gateways_->inject();
         }
-        this->restart_exited_gateways();
+        this->gateways_->repair();
         std::this_thread::sleep_for(poll_interval);
     }
     this->stopping_ = true;
@@ -101,7 +87,7 @@
 {
     std::mt19937 random(seed);
     for (unsigned number = 0; !this->stopping_; ++number) {
-        const auto gateway = static_cast<unsigned>(random() % this->gateways_.size());
+        const auto gateway = static_cast<unsigned>(random() % this->gateways_->count());
         const bool is_crashing = random() % this->options_.crashing_share == 0;
         // The crashing part is the second or the third one.
         std::vector<std::string> parts{"aa00:40", fmt::format("b{}:30", random() % 4)};
@@ -115,7 +101,7 @@
         const auto sent_at = timer::now();
         bool is_served = false;
         try {
-            is_served = call(this->gateways_[gateway]->caller_address(),
+            is_served = call(this->gateways_->caller_address(gateway),
                              fmt::format("{}-{}-{}", gateway, seed, number), prompt);
         }
         catch (const std::system_error&) {
@@ -129,73 +115,6 @@
     }
 }
 
-void prompt_soak_run::disrupt(unsigned gateway, bool is_of_all, std::chrono::milliseconds length,
-                              const std::string& what)
-{
-    const auto now = timer::now();
-    this->disruptions_.push_back({gateway, is_of_all, now, now + length});
-    const auto ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - this->started_).count();
-    this->faults_.push_back(fmt::format("{} ms: {}", ms, what));
-}
-
-void prompt_soak_run::inject_fault()
-{
-    constexpr unsigned fault_kinds = 5;
-    const auto gateway = static_cast<unsigned>(this->random_() % this->gateways_.size());
-    auto& target = *this->gateways_[gateway];
-    switch (this->random_() % fault_kinds) {
-    case 0:
-        this->disrupt(gateway, false, 500ms, fmt::format("kill {}", gateway));
-        target.send_signal(SIGKILL);
-        break;
-    case 1:
-        this->disrupt(0, true, 500ms, "kill all");
-        std::ranges::for_each(this->gateways_, [](const auto& it) { it->send_signal(SIGKILL); });
-        break;
-    case 2:
-        this->disrupt(gateway, false, suspension_time, fmt::format("suspend {}", gateway));
-        target.send_signal(SIGSTOP);
-        this->resume_at_[gateway] = timer::now() + suspension_time;
-        break;
-    case 3:
-        this->disrupt(0, true, store_outage, "the store refuses");
-        this->store_.set_state(store_state::refuses);
-        this->store_back_at_ = timer::now() + store_outage;
-        break;
-    default:
-        this->disrupt(gateway, false, 3s, fmt::format("terminate {}", gateway));
-        target.send_signal(SIGTERM);
-        break;
-    }
-}
-
-void prompt_soak_run::restart_exited_gateways()
-{
-    const auto now = timer::now();
-    for (unsigned n = 0; n < this->gateways_.size(); ++n) {
-        if (this->resume_at_[n] != timer::time_point{} && now >= this->resume_at_[n]) {
-            this->gateways_[n]->send_signal(SIGCONT);
-            this->resume_at_[n] = {};
-        }
-        if (this->gateways_[n]->poll_exit_status()) {
-            this->gateways_[n]->start();
-        }
-    }
-    if (this->store_back_at_ != timer::time_point{} && now >= this->store_back_at_) {
-        this->store_.set_state(store_state::works);
-        this->store_back_at_ = {};
-    }
-}
-
-bool prompt_soak_run::is_in_touch(unsigned gateway, timer::time_point at) const
-{
-    return std::ranges::none_of(this->disruptions_, [&](const disruption& it) {
-        return (it.is_of_all || it.gateway == gateway) && at >= it.begin &&
-               at <= it.end + stable_window;
-    });
-}
-
 prompt_soak_run::timer::time_point prompt_soak_run::fifth_crash(const std::string& part) const
 {
     unsigned count = 0;
@@ -219,7 +138,7 @@
     const auto bound = this->fifth_crash(part) + stable_window;
     return static_cast<unsigned>(std::ranges::count_if(arrivals, [&](const auto& it) {
         const auto gateway = static_cast<unsigned>(std::stoul(it.request_id));
-        return it.part == part && it.at > bound && this->is_in_touch(gateway, it.at);
+        return it.part == part && it.at > bound && this->gateways_->is_in_touch(gateway, it.at);
     }));
 }
 
@@ -233,7 +152,7 @@
     unsigned served = 0;
     count = 0;
     for (const auto& it : this->sound_calls_) {
-        if ((it.at >= begin) == after_crashes && this->is_in_touch(it.gateway, it.at)) {
+        if ((it.at >= begin) == after_crashes && this->gateways_->is_in_touch(it.gateway, it.at)) {
             ++count;
             served += it.is_served ? 1 : 0;
         }
@@ -266,7 +185,7 @@
     return fmt::format("{} engines ended, sound requests served: {:.3f} of {} before, {:.3f} of "
                        "{} after, {} faults",
                        this->engines_->arrivals().size(), served_before, before, served_after,
-                       after, this->faults_.size());
+                       after, this->faults().size());
 }
 
 } // namespace medlaryoke::soak
--- a/Tests/Soak/prompt_soak_run.h
+++ b/Tests/Soak/prompt_soak_run.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "Soak/crashing_engines.h"
-#include "Soak/gateway_child.h"
+#include "Soak/gateway_faults.h"
 #include "Soak/soak_store.h"
 
 namespace medlaryoke::soak {
@@ -48,19 +48,14 @@
     /// @return one line with the totals of the run
     [[nodiscard]] std::string totals() const;
 
-    [[nodiscard]] const std::vector<std::string>& faults() const { return this->faults_; }
+    [[nodiscard]] const std::vector<std::string>& faults() const
+    {
+        return this->gateways_->faults();
+    }
 
 private:
     using timer = crashing_engines::timer;
 
-    /// A period in which the gateway, or all of them, may break bounds.
-    struct disruption {
-        unsigned gateway = 0;
-        bool is_of_all = false;
-        timer::time_point begin;
-        timer::time_point end;
-    };
-
     /// The result of a sound request.
     struct sound_call {
         timer::time_point at;
@@ -69,27 +64,16 @@
     };
 
     void call_until_end(unsigned seed);
-    void inject_fault();
-    void restart_exited_gateways();
-    void disrupt(unsigned gateway, bool is_of_all, std::chrono::milliseconds length,
-                 const std::string& what);
-    void kill(unsigned gateway);
-    [[nodiscard]] bool is_in_touch(unsigned gateway, timer::time_point at) const;
     [[nodiscard]] timer::time_point fifth_crash(const std::string& part) const;
     [[nodiscard]] unsigned late_requests(const std::string& part) const;
     [[nodiscard]] double served_fraction(bool after_crashes, unsigned& count) const;
 
     prompt_soak_options options_;
-    std::mt19937 random_;
     transport::runtime runtime_{1};
     soak_store store_;
     std::vector<std::string> parts_;
     std::unique_ptr<crashing_engines> engines_;
-    std::vector<std::unique_ptr<gateway_child>> gateways_;
-    std::vector<timer::time_point> resume_at_; ///< by gateway: when its suspension ends
-    timer::time_point store_back_at_;
-    std::vector<disruption> disruptions_;
-    std::vector<std::string> faults_;
+    std::unique_ptr<gateway_faults> gateways_;
     timer::time_point started_;
     std::atomic<bool> stopping_ = false;
     std::mutex mutex_;
--- a/Tests/Soak/soak_upstream.cxx
+++ b/Tests/Soak/soak_upstream.cxx
@@ -38,6 +38,18 @@
 {
 }
 
+void soak_upstream::set_rate_limit(std::optional<double> per_second)
+{
+    const std::scoped_lock lock(this->mutex_);
+    this->rate_limit_ = per_second;
+}
+
+std::vector<soak_upstream::arrival> soak_upstream::arrivals() const
+{
+    const std::scoped_lock lock(this->mutex_);
+    return this->arrivals_;
+}
+
 void soak_upstream::handle(const transport::http_request& request, const response& reply)
 {
     const std::string id(transport::find_header(request.headers, id_header));
@@ -46,6 +58,14 @@
     const bool executes = !this->refuses && !is_other;
     transport::http_head head{
         200, {{id_header, id}, {"Medlaryoke-Server-Stamp", "stamp-" + this->name_}}};
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->arrivals_.push_back(
+            {std::chrono::steady_clock::now(), id, this->rate_limit_.has_value()});
+        if (this->rate_limit_) {
+            head.headers.push_back({"Server-Limit", fmt::format("{}", *this->rate_limit_)});
+        }
+    }
     if (!executes) {
         head.status = is_other ? 421 : 503;
         head.headers.push_back({"Medlaryoke-Not-Executed", "full"});
--- a/Tests/Soak/soak_upstream.h
+++ b/Tests/Soak/soak_upstream.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "fakes/tcp_proxy.h"
 #include "transport/http_server.h"
@@ -48,6 +51,19 @@
     /// @return the proxy between the gateways and this upstream
     [[nodiscard]] fakes::tcp_proxy& proxy() { return this->proxy_; }
 
+    /// A request that reached the upstream.
+    struct arrival {
+        std::chrono::steady_clock::time_point at;
+        std::string request_id;
+        bool is_limited = false; ///< its answer names the rate limit
+    };
+
+    /// @param per_second rate limit that answers name from now on; empty for none
+    void set_rate_limit(std::optional<double> per_second);
+
+    /// @return the requests in the order of their arrival
+    [[nodiscard]] std::vector<arrival> arrivals() const;
+
     std::atomic<bool> refuses = false; ///< answers 503 without executing requests
     std::atomic<bool> fails = false;   ///< executes requests and answers 500
     std::atomic<int> work_ms = 20;     ///< time from a request to its answer
@@ -61,6 +77,9 @@
     transport::runtime& runtime_;
     execution_counter& executions_;
     std::string name_;
+    mutable std::mutex mutex_;
+    std::optional<double> rate_limit_;
+    std::vector<arrival> arrivals_;
     transport::http_server server_;
     fakes::tcp_proxy proxy_;
 };
