policy, gateway: Keep limits of all gateways through one-way losses and starts within a cut

Traced: a gateway that alone did not hear the responsible one issued permits beside it; gateways that started within a cut knew of no others and took the whole limit each. Now a silent peer that others hear keeps its duties, and in the first 30 s a process counts the gateways that the store and the settings list, also for the retry budget.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -368,7 +368,7 @@
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
     this->gateway_.set_remote_load(this->peer_exchange_->table().running(now),
-                                   this->peer_exchange_->table().sharing_gateways());
+                                   this->peer_exchange_->table().sharing_gateways(now));
     const auto newest =
         std::ranges::max_element(alive, {}, &policy::peer_heartbeat::config_version);
     if (newest != alive.end() && (*newest)->config_version > this->config_.version()) {
@@ -429,7 +429,8 @@
         this->update_upstreams();
     }
     const auto& peers = this->peer_exchange_->table();
-    this->gateway_.limits().set_gateways(peers.alive_peers(this->clock_.now()), peers.known(),
+    const auto now = this->clock_.now();
+    this->gateway_.limits().set_gateways(peers.reachable_peers(now), peers.sharing_gateways(now),
                                          this->is_ready());
     this->gateway_.tick();
     this->update_coordinator_role();
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -75,6 +75,7 @@
     if (message.crash_size() + message.answer_size() + message.quarantine_size() > 0) {
         heartbeat.quarantine = read_report(message);
     }
+    heartbeat.live_addresses = {message.known_address().begin(), message.known_address().end()};
     read_rate_limits(message, now, heartbeat);
     return heartbeat;
 }
@@ -117,6 +118,7 @@
             this->addresses_.insert(address);
         }
     }
+    this->table_.set_listed(this->addresses_.size());
 }
 
 void peer_exchange::send_now()
@@ -138,7 +140,7 @@
         return;
     }
     this->add_addresses({heartbeat.beat_address});
-    this->add_addresses({message.known_address().begin(), message.known_address().end()});
+    this->add_addresses(heartbeat.live_addresses);
     if (!this->table_.is_new(heartbeat)) {
         heartbeat.permits.clear(); // a duplicate
     }
--- a/Source/gateway/rate_limits.cxx
+++ b/Source/gateway/rate_limits.cxx
@@ -73,7 +73,7 @@
 }
 
 void rate_limits::set_gateways(const std::vector<const policy::peer_heartbeat*>& peers,
-                               std::size_t known_count, bool is_serving)
+                               std::size_t all_count, bool is_serving)
 {
     if (!this->shared_.has_limits()) {
         return;
@@ -83,7 +83,7 @@
     for (const auto* peer : peers) {
         sharers.push_back({hash64(peer->instance), peer->serving, peer->demand});
     }
-    this->shared_.set_gateways(std::move(sharers), known_count, is_serving);
+    this->shared_.set_gateways(std::move(sharers), all_count, is_serving);
 }
 
 void rate_limits::fill(policy::peer_heartbeat& heartbeat)
--- a/Source/gateway/rate_limits.h
+++ b/Source/gateway/rate_limits.h
@@ -47,11 +47,11 @@
     void on_sent(std::uint64_t upstream, bool is_repeat);
 
     /// Replaces the gateways that share the limits.
-    /// @param peers those that are not silent
-    /// @param known_count number of peers, whether silent or not
+    /// @param peers those that can be reached
+    /// @param all_count number of gateways, this one and those that cannot be reached included
     /// @param is_serving whether this gateway accepts requests
     void set_gateways(const std::vector<const policy::peer_heartbeat*>& peers,
-                      std::size_t known_count, bool is_serving);
+                      std::size_t all_count, bool is_serving);
 
     /// Sets what the peers are to know.
     void fill(policy::peer_heartbeat& heartbeat);
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -1,5 +1,7 @@
 #include "policy/peer_table.h"
 
+#include <algorithm>
+
 namespace medlaryoke::policy {
 
 peer_table::peer_table(peer_table_options options) : options_(options) {}
@@ -46,6 +48,9 @@
             it.last_heard += now - this->last_tick_;
         }
     }
+    if (this->first_tick_ == time_point{}) {
+        this->first_tick_ = now;
+    }
     this->last_tick_ = now;
     std::erase_if(this->peers_, [this, now](const auto& it) {
         return now - it.second.last_heard > this->options_.erase_timeout;
@@ -63,6 +68,24 @@
     return peers;
 }
 
+std::vector<const peer_heartbeat*> peer_table::reachable_peers(time_point now) const
+{
+    const auto alive = this->alive_peers(now);
+    auto reachable = alive;
+    for (const auto& [name, it] : this->peers_) {
+        const bool is_heard =
+            this->is_silent(it, now) &&
+            std::ranges::any_of(alive, [&it](const peer_heartbeat* peer) {
+                return std::ranges::find(peer->live_addresses, it.heartbeat.beat_address) !=
+                       peer->live_addresses.end();
+            });
+        if (is_heard) {
+            reachable.push_back(&it.heartbeat);
+        }
+    }
+    return reachable;
+}
+
 std::unordered_map<std::uint64_t, unsigned> peer_table::running(time_point now) const
 {
     std::unordered_map<std::uint64_t, unsigned> totals;
@@ -74,6 +97,13 @@
     return totals;
 }
 
+std::size_t peer_table::sharing_gateways(time_point now) const
+{
+    const bool has_just_started =
+        this->first_tick_ == time_point{} || now - this->first_tick_ < this->options_.erase_timeout;
+    return std::max(this->known(), has_just_started ? this->listed_count_ : 0) + 1;
+}
+
 bool peer_table::is_silent(const peer_state& it, time_point now) const
 {
     return now - it.last_heard > this->options_.silence_timeout;
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -24,7 +24,8 @@
     std::string data_centre;
     bool serving = false; ///< accepts requests; false while it starts or shuts down
     std::uint64_t config_version = 0;
-    std::uint64_t upstreams_position = 0; ///< how far it has read the list of upstreams
+    std::vector<std::string> live_addresses; ///< beat addresses of gateways that it hears
+    std::uint64_t upstreams_position = 0;    ///< how far it has read the list of upstreams
     std::unordered_map<std::uint64_t, unsigned> running; ///< running requests by upstream id
     std::optional<quarantine_report>
         quarantine;                           ///< what the gateway knows of crashes, if it is new
@@ -67,12 +68,20 @@
     /// @return peers that are not silent, sorted by name; valid until the table changes
     [[nodiscard]] std::vector<const peer_heartbeat*> alive_peers(time_point now) const;
 
+    /// @return peers that are not silent, and silent ones that a peer hears which is not; valid
+    /// until the table changes
+    [[nodiscard]] std::vector<const peer_heartbeat*> reachable_peers(time_point now) const;
+
     /// @return running requests of the peers that are not silent, summed by upstream id
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running(time_point now) const;
 
     /// @return number of gateways among which a limit of all gateways is divided: this one and its
-    /// peers, whether silent or not, as silent ones may only be cut off
-    [[nodiscard]] std::size_t sharing_gateways() const { return this->known() + 1; }
+    /// peers, whether silent or not, as silent ones may only be cut off. A process that has just
+    /// started counts the listed ones too.
+    [[nodiscard]] std::size_t sharing_gateways(time_point now) const;
+
+    /// @param count number of peers that the store or the settings list, whether they run or not
+    void set_listed(std::size_t count) { this->listed_count_ = count; }
 
     /// @return number of peers in the table, whether silent or not
     [[nodiscard]] std::size_t known() const { return this->peers_.size(); }
@@ -88,7 +97,9 @@
 
     peer_table_options options_;
     std::map<std::string, peer_state> peers_;
+    time_point first_tick_{};
     time_point last_tick_{};
+    std::size_t listed_count_ = 0;
 };
 
 } // namespace medlaryoke::policy
--- a/Source/policy/shared_rate_limits.cxx
+++ b/Source/policy/shared_rate_limits.cxx
@@ -67,11 +67,11 @@
     }
 }
 
-void shared_rate_limits::set_gateways(std::vector<limit_sharer> peers, std::size_t known_count,
+void shared_rate_limits::set_gateways(std::vector<limit_sharer> peers, std::size_t all_count,
                                       bool is_serving)
 {
     this->peers_ = std::move(peers);
-    this->known_count_ = known_count;
+    this->all_count_ = all_count;
     std::vector<std::uint64_t> serving;
     for (const auto& peer : this->peers_) {
         if (peer.serving) {
@@ -153,7 +153,7 @@
 double shared_rate_limits::issued_rate(double limit) const
 {
     const auto reached = static_cast<double>(this->peers_.size() + 1);
-    const auto all = std::max(static_cast<double>(this->known_count_ + 1), reached);
+    const auto all = std::max(static_cast<double>(this->all_count_), reached);
     // Half of the gateways or fewer may be cut off from the others, which issue permits too.
     const bool may_be_cut_off = 2 * reached <= all;
     return std::max(limit, this->options_.min_rate) * (may_be_cut_off ? reached / all : 1);
--- a/Source/policy/shared_rate_limits.h
+++ b/Source/policy/shared_rate_limits.h
@@ -83,10 +83,10 @@
     void set_upstreams(std::uint64_t service, const std::vector<std::uint64_t>& upstreams);
 
     /// Replaces the gateways that share the limits.
-    /// @param peers other gateways that are not silent
-    /// @param known_count number of other gateways, whether silent or not
+    /// @param peers other gateways that can be reached
+    /// @param all_count number of gateways, this one and those that cannot be reached included
     /// @param is_serving whether this gateway accepts requests
-    void set_gateways(std::vector<limit_sharer> peers, std::size_t known_count, bool is_serving);
+    void set_gateways(std::vector<limit_sharer> peers, std::size_t all_count, bool is_serving);
 
     /// Counts a request that this gateway has received.
     /// @param service hash of the service's name
@@ -148,7 +148,7 @@
     std::unordered_map<std::uint64_t, rate_meter> demand_;      ///< by service
     std::vector<limit_sharer> peers_;
     std::vector<std::uint64_t> serving_; ///< serving gateways, sorted
-    std::size_t known_count_ = 0;
+    std::size_t all_count_ = 1;
     std::unordered_map<std::uint64_t, bool>
         is_responsible_; ///< by upstream, until serving_ changes
     std::unordered_map<std::uint64_t, allowance>
--- a/Tests/policy/rate_limit_model.cxx
+++ b/Tests/policy/rate_limit_model.cxx
@@ -44,6 +44,7 @@
     }
     for (std::size_t n = 0; n < load.gateways; ++n) {
         gateways_[n].name = "gateway-" + std::to_string(n);
+        gateways_[n].deaf_until.resize(load.gateways);
         this->start(gateways_[n], this->random_duration(0ms, 300ms));
     }
 }
@@ -82,6 +83,7 @@
     std::ranges::generate(ids, [n = std::uint64_t{0}]() mutable { return ++n; });
     it.limits->set_upstreams(service, ids);
     it.peers = peer_table{};
+    it.peers.set_listed(this->load_.gateways - 1);
     it.inbox.clear();
     it.answers.clear();
     it.told_at.assign(this->upstreams_.size(), std::nullopt);
@@ -105,6 +107,15 @@
             }
         }
     }
+    if (this->load_.has_one_way && this->happens(probability)) {
+        const auto until = this->now_ + this->random_duration(1s, 8s);
+        const auto share = std::uniform_real_distribution<double>(0, 1)(this->random_);
+        for (auto& deaf_until : this->gateways_[this->pick(this->gateways_.size())].deaf_until) {
+            if (this->happens(share)) {
+                deaf_until = until;
+            }
+        }
+    }
     if (this->load_.has_freezes && this->happens(probability)) {
         auto& it = this->gateways_[this->pick(this->gateways_.size())];
         it.frozen_until = this->now_ + this->random_duration(500ms, 6s);
@@ -132,10 +143,11 @@
     this->receive(it);
     if (this->now_.time_since_epoch() % tick_interval == 0ms) {
         std::vector<limit_sharer> sharers;
-        for (const auto* peer : it.peers.alive_peers(this->now_)) {
+        for (const auto* peer : it.peers.reachable_peers(this->now_)) {
             sharers.push_back({hash64(peer->instance), peer->serving, peer->demand});
         }
-        it.limits->set_gateways(std::move(sharers), it.peers.known(), this->now_ >= it.serves_at);
+        it.limits->set_gateways(std::move(sharers), it.peers.sharing_gateways(this->now_),
+                                this->now_ >= it.serves_at);
         it.limits->tick(this->now_);
     }
     if (this->now_ >= it.serves_at) {
@@ -215,6 +227,10 @@
     it.peers.on_tick(this->now_);
     peer_heartbeat heartbeat;
     heartbeat.instance = it.name;
+    heartbeat.beat_address = it.name;
+    for (const auto* peer : it.peers.alive_peers(this->now_)) {
+        heartbeat.live_addresses.push_back(peer->beat_address);
+    }
     heartbeat.incarnation = it.incarnation;
     heartbeat.number = ++it.number;
     heartbeat.serving = this->now_ >= it.serves_at;
@@ -222,7 +238,9 @@
     heartbeat.demand = it.limits->demand(this->now_);
     heartbeat.permits = it.limits->take_issued();
     for (auto& other : this->gateways_) {
+        const auto sender = static_cast<std::size_t>(&it - this->gateways_.data());
         const bool is_reached = &other != &it && other.side == it.side &&
+                                this->now_ >= other.deaf_until[sender] &&
                                 this->now_ >= other.starts_at && !this->happens(loss);
         if (is_reached) {
             const auto delay = this->random_duration(1ms, 3ms);
--- a/Tests/policy/rate_limit_model.h
+++ b/Tests/policy/rate_limit_model.h
@@ -24,6 +24,7 @@
     double demand = 25;        ///< requests a second at each gateway
     double skew = 1;           ///< demand of the first gateway, as a multiple of the others'
     bool has_cuts = false;     ///< groups of gateways lose each other for seconds
+    bool has_one_way = false;  ///< gateways do not hear single others for seconds
     bool has_freezes = false;  ///< gateways stand still for seconds
     bool has_restarts = false; ///< gateways start again, one or many
     std::uint64_t seed = 1;
@@ -76,6 +77,7 @@
         time_point next_heartbeat{};
         unsigned side = 0; ///< only gateways of the same side reach each other
         time_point cut_until{};
+        std::vector<time_point> deaf_until; ///< by sender: when its heartbeats arrive again
     };
     struct arrival {
         time_point at{};
--- a/Tests/policy/test_attempt_budget.cxx
+++ b/Tests/policy/test_attempt_budget.cxx
@@ -69,7 +69,7 @@
                     tables[n].on_heartbeat(heartbeat, now);
                 }
             }
-            budgets[n].configure(options, tables[n].sharing_gateways());
+            budgets[n].configure(options, tables[n].sharing_gateways(now));
             if (ms >= 5'000 && budgets[n].try_take(now)) {
                 taken.push_back(now);
             }
--- a/Tests/policy/test_peer_table.cxx
+++ b/Tests/policy/test_peer_table.cxx
@@ -52,3 +52,43 @@
     table.on_tick(start + 4100ms);
     cr_assert(table.alive_peers(start + 5500ms).empty());
 }
+
+// Guards against a gateway that takes over from one that it alone does not hear.
+Test(peer_table, a_silent_peer_that_others_hear_is_reachable)
+{
+    peer_table table;
+    table.on_tick(start);
+    auto silent = make_heartbeat("a", 1);
+    silent.beat_address = "10.0.0.1:1";
+    table.on_heartbeat(silent, start);
+    auto other = make_heartbeat("b", 1);
+    table.on_heartbeat(other, start + 1500ms);
+    cr_assert(table.reachable_peers(start + 1500ms).size() == 1);
+    other.number = 2;
+    other.live_addresses = {"10.0.0.1:1"};
+    table.on_heartbeat(other, start + 1600ms);
+    cr_assert(table.alive_peers(start + 1600ms).size() == 1);
+    cr_assert(table.reachable_peers(start + 1600ms).size() == 2);
+}
+
+// Guards against limits of all gateways that are divided by too few of them: by those that are
+// heard while others are cut off, and by none at the start of a process.
+Test(peer_table, silent_and_listed_gateways_share_limits)
+{
+    peer_table table;
+    table.on_tick(start);
+    table.set_listed(5);
+    cr_assert(table.sharing_gateways(start) == 6);
+    table.on_heartbeat(make_heartbeat("a", 1), start + 5s);
+    auto tick_until = [&table, now = start](time_point end) mutable {
+        for (; now <= end; now += 300ms) {
+            table.on_tick(now);
+        }
+    };
+    tick_until(start + 29s);
+    cr_assert(table.sharing_gateways(start + 29s) == 6);
+    tick_until(start + 31s);
+    cr_assert(table.sharing_gateways(start + 31s) == 2, "listed ones may be long gone");
+    tick_until(start + 40s);
+    cr_assert(table.sharing_gateways(start + 40s) == 1);
+}
--- a/Tests/policy/test_shared_rate_limits.cxx
+++ b/Tests/policy/test_shared_rate_limits.cxx
@@ -98,6 +98,23 @@
     expect_within_limit(load);
 }
 
+// Guards against a gateway that takes over from one that it alone does not hear.
+Test(shared_rate_limits, gateways_that_do_not_hear_some_others_keep_a_limit, .timeout = 240)
+{
+    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
+        auto load = small_site(seed, seed % 2 == 0 ? 2.4 : 12);
+        load.has_one_way = true;
+        expect_within_limit(load);
+    }
+    // Two gateways issued permits for the same upstreams with this seed.
+    auto regression = small_site(72, 2.4);
+    regression.has_one_way = true;
+    expect_within_limit(regression);
+    auto load = large_site(1, 2.4);
+    load.has_one_way = true;
+    expect_within_limit(load);
+}
+
 // Guards against an allowance that a gateway gathers while it stands still.
 Test(shared_rate_limits, gateways_that_stand_still_keep_a_limit, .timeout = 240)
 {
@@ -131,6 +148,14 @@
         load.has_restarts = true;
         expect_within_limit(load);
     }
+    // Gateways that started while they were cut off took themselves for the only ones with these.
+    for (const unsigned seed : {105U, 119U, 147U, 157U}) {
+        auto load = small_site(seed, 6);
+        load.has_cuts = true;
+        load.has_freezes = true;
+        load.has_restarts = true;
+        expect_within_limit(load);
+    }
 }
 
 // Guards against an even division, which wastes the share of gateways with little load.
