policy: Forget permits that have ended

Found by reading: the permits of a limited upstream to which a gateway sends nothing were kept for ever.

--- a/Source/policy/shared_rate_limits.cxx
+++ b/Source/policy/shared_rate_limits.cxx
@@ -136,6 +136,7 @@
     for (const auto upstream : ended) {
         this->table_.erase(upstream);
         this->permits_.erase(upstream);
+        this->is_responsible_.erase(upstream);
     }
 }
 
@@ -163,7 +164,7 @@
 {
     const auto receiver = this->choose_receiver(service, now);
     if (receiver == this->gateway_) {
-        this->permits_[upstream].push_back(now + this->options_.permit_lifetime);
+        this->add_permits(upstream, 1, now);
         return;
     }
     const auto same = std::ranges::find_if(this->issued_, [&](const rate_permit& it) {
@@ -210,10 +211,14 @@
     if (permit.gateway != this->gateway_ || !this->limit(permit.upstream)) {
         return;
     }
-    auto& permits = this->permits_[permit.upstream];
-    for (unsigned n = 0; n < std::min(permit.count, max_accepted_permits); ++n) {
-        permits.push_back(now + this->options_.permit_lifetime);
-    }
+    this->add_permits(permit.upstream, std::min(permit.count, max_accepted_permits), now);
+}
+
+void shared_rate_limits::add_permits(std::uint64_t upstream, unsigned count, time_point now)
+{
+    auto& permits = this->permits_[upstream];
+    permits.erase(permits.begin(), std::ranges::upper_bound(permits, now));
+    permits.insert(permits.end(), count, now + this->options_.permit_lifetime);
 }
 
 std::size_t shared_rate_limits::permits(std::uint64_t upstream, time_point now) const
--- a/Source/policy/shared_rate_limits.h
+++ b/Source/policy/shared_rate_limits.h
@@ -138,6 +138,7 @@
     [[nodiscard]] double own_demand(std::uint64_t service, time_point now) const;
     void erase_ended(time_point now);
     void issue(std::uint64_t upstream, std::uint64_t service, time_point now);
+    void add_permits(std::uint64_t upstream, unsigned count, time_point now);
     [[nodiscard]] std::uint64_t choose_receiver(std::uint64_t service, time_point now);
 
     std::uint64_t gateway_;
--- a/Tests/policy/test_shared_rate_limits.cxx
+++ b/Tests/policy/test_shared_rate_limits.cxx
@@ -200,6 +200,17 @@
     cr_expect(limits.permits(upstream, time_point{} + 22s) == 0);
 }
 
+// Guards against memory that grows while no request comes.
+Test(shared_rate_limits, permits_that_have_ended_are_forgotten)
+{
+    auto limits = make_sole(50);
+    for (auto now = time_point{}; now <= time_point{} + 20s; now += 20ms) {
+        limits.tick(now);
+    }
+    cr_expect(limits.permits(upstream, time_point{}) <= 60, "%zu kept",
+              limits.permits(upstream, time_point{}));
+}
+
 // Guards against a limit of zero that is never asked about again.
 Test(shared_rate_limits, the_end_of_a_limit_of_zero_can_be_noticed)
 {
