gateway: Let no other process end a rate limit

Found by reading: an answer with status 421 comes from another process at a reused address, and its missing limit ended the limit of the upstream that was meant. Such answers are left out now; a limit in an answer without signature, as in a refusal, is taken over, but its absence there ends none. Test an_answer_of_another_process_ends_no_limit fails without the change.

--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -166,12 +166,7 @@
     it.is_streamed = this->details_.route->is_stream && is_success(head.status);
     const bool is_signed =
         !transport::find_header(head.headers, this->dispatcher_->protocol().signature).empty();
-    // Bytes of a faulty upstream without a signature say nothing of its limit.
-    if (is_signed) {
-        this->dispatcher_->limits().on_answer(
-            it.target.incarnation, it.target.id, head.status,
-            transport::find_header(head.headers, this->dispatcher_->protocol().rate_limit));
-    }
+    this->read_rate_limit(head, is_signed);
     const bool is_encoded = !transport::find_header(head.headers, "Content-Encoding").empty();
     if (is_success(head.status) && (!is_signed || is_encoded)) {
         // Cancelled before the end of the body, so that the connection is not reused.
@@ -180,6 +175,18 @@
     }
 }
 
+void proxied_request::read_rate_limit(const transport::http_head& head, bool is_signed)
+{
+    const auto limit =
+        transport::find_header(head.headers, this->dispatcher_->protocol().rate_limit);
+    // Another process answers at a reused address. Bytes of a faulty upstream without a signature
+    // end no limit.
+    if (head.status != misdirected_status && (is_signed || !limit.empty())) {
+        const auto& target = this->attempt_->target;
+        this->dispatcher_->limits().on_answer(target.incarnation, target.id, head.status, limit);
+    }
+}
+
 void proxied_request::on_data(const std::string& data)
 {
     auto& it = *this->attempt_;
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -79,6 +79,8 @@
     [[nodiscard]] transport::http_events make_event_handlers(std::uint64_t number);
 
     void on_head(const transport::http_head& head);
+    /// @param is_signed whether the upstream itself wrote the response
+    void read_rate_limit(const transport::http_head& head, bool is_signed);
     void on_data(const std::string& data);
     void on_end();
     void on_failure(const transport::http_failure& failure);
--- a/Tests/gateway/limited_upstreams.cxx
+++ b/Tests/gateway/limited_upstreams.cxx
@@ -25,10 +25,10 @@
     this->behaviours_[index].limit = limit;
 }
 
-void limited_upstreams::set_failing(std::size_t index, bool fails)
+void limited_upstreams::set_status(std::size_t index, const std::string& status)
 {
     const std::scoped_lock lock(this->mutex_);
-    this->behaviours_[index].fails = fails;
+    this->behaviours_[index].status = status;
 }
 
 std::vector<time_point> limited_upstreams::arrivals(std::size_t index) const
@@ -63,10 +63,9 @@
     const std::scoped_lock lock(this->mutex_);
     auto& it = this->behaviours_[index];
     it.arrivals.push_back(this->fixture_.clock.now());
-    connection.send("HTTP/1.1 " + std::string(it.fails ? "500 Failed" : "200 OK") +
-                    "\r\nX-Id: r-1\r\nX-Signature: s\r\nConnection: close\r\n" +
-                    (it.limit.empty() ? "" : "X-Limit: " + it.limit + "\r\n") +
-                    "Content-Length: 2\r\n\r\nok");
+    connection.send(
+        "HTTP/1.1 " + it.status + "\r\nX-Id: r-1\r\nX-Signature: s\r\nConnection: close\r\n" +
+        (it.limit.empty() ? "" : "X-Limit: " + it.limit + "\r\n") + "Content-Length: 2\r\n\r\nok");
 }
 
 std::size_t busiest_window(const std::vector<time_point>& arrivals, time_point since,
--- a/Tests/gateway/limited_upstreams.h
+++ b/Tests/gateway/limited_upstreams.h
@@ -26,8 +26,8 @@
     void set_limit(std::size_t index, const std::string& limit);
 
     /// @param index of the upstream
-    /// @param fails whether it answers with status 500 from now on
-    void set_failing(std::size_t index, bool fails);
+    /// @param status status line of its answers from now on
+    void set_status(std::size_t index, const std::string& status);
 
     /// @return when requests reached an upstream
     [[nodiscard]] std::vector<time_point> arrivals(std::size_t index) const;
@@ -35,7 +35,7 @@
 private:
     struct behaviour {
         std::string limit;
-        bool fails = false;
+        std::string status = "200 OK";
         std::vector<time_point> arrivals;
     };
 
--- a/Tests/gateway/test_rate_limits.cxx
+++ b/Tests/gateway/test_rate_limits.cxx
@@ -87,8 +87,8 @@
     fixture.configure();
     limited_upstreams upstreams(fixture);
     upstreams.set_limit(0, "1");
-    upstreams.set_failing(1, true);
-    upstreams.set_failing(2, true);
+    upstreams.set_status(1, "500 Failed");
+    upstreams.set_status(2, "500 Failed");
     const auto begin = fixture.clock.now();
     (void)send_requests(fixture, 8s, 5ms);
     const auto most = busiest_window(upstreams.arrivals(0), begin + stable_window, rule_window);
@@ -134,3 +134,18 @@
     cr_expect(counts.refused + counts.failed == 0, "%u refused", counts.refused);
     cr_expect(counts.succeeded > 20);
 }
+
+// Guards against a limit that ends because another process answers at the address.
+Test(rate_limits, an_answer_of_another_process_ends_no_limit, .timeout = 60)
+{
+    gateway_fixture fixture(1);
+    fixture.configure();
+    limited_upstreams upstreams(fixture);
+    upstreams.set_limit(0, "2");
+    (void)send_requests(fixture, 500ms, 5ms);
+    upstreams.set_limit(0, "");
+    upstreams.set_status(0, "421 Misdirected Request");
+    (void)send_requests(fixture, stable_window, 5ms);
+    fixture.run_on_gateway(
+        [&fixture] { cr_expect(fixture.tested_gateway->limits().shared().has_limits()); });
+}
