gateway: Bound the early reports of rate limits

An upstream whose answers differ from one to the next made each gateway send a heartbeat to all peers every 20 ms; now every 200 ms at most. Gateways that cannot be heard are looked up only while there are limits.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -43,6 +43,10 @@
 // are reported together.
 constexpr auto limit_report_delay = std::chrono::milliseconds(20);
 
+// Time from one early report to the next, so that an upstream whose answers differ does not make
+// this gateway send a heartbeat for each of them.
+constexpr auto limit_report_interval = std::chrono::milliseconds(200);
+
 // Time to send the last bytes of a response.
 constexpr auto flush_time = std::chrono::milliseconds(200);
 
@@ -392,10 +396,8 @@
 void gateway_process::report_limits_soon()
 {
     if (!std::exchange(this->is_reporting_limits_, true)) {
-        this->context_.after(limit_report_delay, [this] {
-            this->is_reporting_limits_ = false;
-            this->peer_exchange_->send_now();
-        });
+        this->context_.after(limit_report_delay, [this] { this->peer_exchange_->send_now(); });
+        this->context_.after(limit_report_interval, [this] { this->is_reporting_limits_ = false; });
     }
 }
 
@@ -428,10 +430,12 @@
     if (this->registry_.expire(this->clock_.now())) {
         this->update_upstreams();
     }
-    const auto& peers = this->peer_exchange_->table();
-    const auto now = this->clock_.now();
-    this->gateway_.limits().set_gateways(peers.reachable_peers(now), peers.sharing_gateways(now),
-                                         this->is_ready());
+    if (this->gateway_.limits().shared().has_limits()) {
+        const auto& peers = this->peer_exchange_->table();
+        const auto now = this->clock_.now();
+        this->gateway_.limits().set_gateways(peers.reachable_peers(now),
+                                             peers.sharing_gateways(now), this->is_ready());
+    }
     this->gateway_.tick();
     this->update_coordinator_role();
 }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -173,7 +173,7 @@
     std::optional<time_point> peer_ahead_since_;
     bool is_fetching_config_ = false;
     bool is_draining_ = false;
-    bool is_reporting_limits_ = false; ///< a heartbeat about rate limits is due
+    bool is_reporting_limits_ = false; ///< an early heartbeat about rate limits is due, or was sent
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/rate_limits.cxx
+++ b/Source/gateway/rate_limits.cxx
@@ -75,9 +75,6 @@
 void rate_limits::set_gateways(const std::vector<const policy::peer_heartbeat*>& peers,
                                std::size_t all_count, bool is_serving)
 {
-    if (!this->shared_.has_limits()) {
-        return;
-    }
     std::vector<policy::limit_sharer> sharers;
     sharers.reserve(peers.size());
     for (const auto* peer : peers) {
