--- a/Tests/Soak/limit_soak_main.cxx
+++ b/Tests/Soak/limit_soak_main.cxx
@@ -3,8 +3,6 @@
 // logs.
 
 #include <chrono>
-#include <cstdio>
-#include <filesystem>
 #include <string>
 #include <vector>
 
@@ -13,6 +11,7 @@
 
 #include "fakes/product_program.h"
 #include "Soak/limit_soak_run.h"
+#include "Soak/soak_report.h"
 
 using namespace medlaryoke;
 
@@ -25,23 +24,11 @@
     const auto directory = fakes::make_temporary_directory();
     soak::limit_soak_run test(options, directory);
     test.run();
-    const auto violations = test.violations();
-    fmt::print("seed {}: {}, {} violations\n", options.seed, test.totals(), violations.size());
-    if (violations.empty()) {
-        std::filesystem::remove_all(directory);
-        return true;
-    }
-    for (const auto& it : violations) {
-        fmt::print("  {}\n", it);
-    }
-    for (const auto& it : test.faults()) {
-        fmt::print("  fault at {}\n", it);
-    }
-    fmt::print("  logs: {}\n  again: test_limit_soak --seeds {} --gateways {} --upstreams {} "
-               "--seconds {}\n",
-               directory, options.seed, options.gateways, options.upstreams,
-               options.length.count());
-    return false;
+    return soak::print_report(
+        {fmt::format("seed {}: {}", options.seed, test.totals()), test.violations(), test.faults(),
+         directory,
+         fmt::format("test_limit_soak --seeds {} --gateways {} --upstreams {} --seconds {}",
+                     options.seed, options.gateways, options.upstreams, options.length.count())});
 }
 
 } // namespace
@@ -62,7 +49,6 @@
     for (const auto seed : seeds) {
         options.seed = seed;
         all_passed = run_seed(options) && all_passed;
-        std::fflush(stdout);
     }
     return all_passed ? 0 : 1;
 }
--- a/Tests/Soak/prompt_soak_main.cxx
+++ b/Tests/Soak/prompt_soak_main.cxx
@@ -2,8 +2,6 @@
 // failed seed it also prints the violations, the injected faults and the directory of the logs.
 
 #include <chrono>
-#include <cstdio>
-#include <filesystem>
 #include <string>
 #include <vector>
 
@@ -12,6 +10,7 @@
 
 #include "fakes/product_program.h"
 #include "Soak/prompt_soak_run.h"
+#include "Soak/soak_report.h"
 
 using namespace medlaryoke;
 
@@ -24,23 +23,12 @@
     const auto directory = fakes::make_temporary_directory();
     soak::prompt_soak_run test(options, directory);
     test.run();
-    const auto violations = test.violations();
-    fmt::print("seed {}: {}, {} violations\n", options.seed, test.totals(), violations.size());
-    if (violations.empty()) {
-        std::filesystem::remove_all(directory);
-        return true;
-    }
-    for (const auto& it : violations) {
-        fmt::print("  {}\n", it);
-    }
-    for (const auto& it : test.faults()) {
-        fmt::print("  fault at {}\n", it);
-    }
-    fmt::print("  logs: {}\n  again: test_prompt_soak --seeds {} --gateways {} --parts {} "
-               "--share {} --seconds {}\n",
-               directory, options.seed, options.gateways, options.crashing_parts,
-               options.crashing_share, options.length.count());
-    return false;
+    return soak::print_report(
+        {fmt::format("seed {}: {}", options.seed, test.totals()), test.violations(), test.faults(),
+         directory,
+         fmt::format("test_prompt_soak --seeds {} --gateways {} --parts {} --share {} --seconds {}",
+                     options.seed, options.gateways, options.crashing_parts, options.crashing_share,
+                     options.length.count())});
 }
 
 } // namespace
@@ -62,7 +50,6 @@
     for (const auto seed : seeds) {
         options.seed = seed;
         all_passed = run_seed(options) && all_passed;
-        std::fflush(stdout);
     }
     return all_passed ? 0 : 1;
 }
--- a/Tests/Soak/soak_main.cxx
+++ b/Tests/Soak/soak_main.cxx
@@ -2,8 +2,6 @@
 // seed it also prints the violations, the injected faults and the directory in which the settings
 // and logs are kept.
 
-#include <cstdio>
-#include <filesystem>
 #include <string>
 #include <vector>
 
@@ -11,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "fakes/product_program.h"
+#include "Soak/soak_report.h"
 #include "Soak/soak_run.h"
 
 using namespace medlaryoke;
@@ -24,23 +23,11 @@
     const auto directory = fakes::make_temporary_directory();
     soak::soak_run test(seed, directory);
     test.run(std::chrono::seconds(seconds));
-    const auto violations = test.results().violations();
-    fmt::print("seed {} seconds {}: {} calls, {} answered, {} faults, {} violations\n", seed,
-               seconds, test.results().calls(), test.results().answered(), test.faults().size(),
-               violations.size());
-    if (violations.empty()) {
-        std::filesystem::remove_all(directory);
-        return true;
-    }
-    for (const auto& it : violations) {
-        fmt::print("  {}\n", it);
-    }
-    for (const auto& it : test.faults()) {
-        fmt::print("  fault at {}\n", it);
-    }
-    fmt::print("  logs: {}\n  again: test_soak --seeds {} --seconds {}\n", directory, seed,
-               seconds);
-    return false;
+    return soak::print_report(
+        {fmt::format("seed {} seconds {}: {} calls, {} answered, {} faults", seed, seconds,
+                     test.results().calls(), test.results().answered(), test.faults().size()),
+         test.results().violations(), test.faults(), directory,
+         fmt::format("test_soak --seeds {} --seconds {}", seed, seconds)});
 }
 
 } // namespace
@@ -56,7 +43,6 @@
     bool all_passed = true;
     for (const auto seed : seeds) {
         all_passed = run_seed(seed, seconds) && all_passed;
-        std::fflush(stdout);
     }
     return all_passed ? 0 : 1;
 }
--- a/Tests/policy/test_shared_rate_limits.cxx
+++ b/Tests/policy/test_shared_rate_limits.cxx
@@ -53,6 +53,16 @@
               result.worst_window);
 }
 
+/// Runs small sites with faults, half of them with a limit of few requests.
+void expect_small_sites_within_limit(rate_limit_load faults, double low_limit, double high_limit)
+{
+    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
+        faults.seed = seed;
+        faults.limit = seed % 2 == 0 ? low_limit : high_limit;
+        expect_within_limit(faults);
+    }
+}
+
 } // namespace
 
 // Guards against gateways that each keep a limit of all gateways for themselves.
@@ -88,11 +98,9 @@
 // Guards against a group of gateways that takes the whole limit when it loses the others.
 Test(shared_rate_limits, gateways_that_lose_each_other_keep_a_limit, .timeout = 240)
 {
-    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
-        auto load = small_site(seed, seed % 2 == 0 ? 2.4 : 12);
-        load.has_cuts = true;
-        expect_within_limit(load);
-    }
+    rate_limit_load faults;
+    faults.has_cuts = true;
+    expect_small_sites_within_limit(faults, 2.4, 12);
     auto load = large_site(1, 2.4);
     load.has_cuts = true;
     expect_within_limit(load);
@@ -101,11 +109,9 @@
 // Guards against a gateway that takes over from one that it alone does not hear.
 Test(shared_rate_limits, gateways_that_do_not_hear_some_others_keep_a_limit, .timeout = 240)
 {
-    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
-        auto load = small_site(seed, seed % 2 == 0 ? 2.4 : 12);
-        load.has_one_way = true;
-        expect_within_limit(load);
-    }
+    rate_limit_load faults;
+    faults.has_one_way = true;
+    expect_small_sites_within_limit(faults, 2.4, 12);
     // Two gateways issued permits for the same upstreams with this seed.
     auto regression = small_site(72, 2.4);
     regression.has_one_way = true;
@@ -118,21 +124,17 @@
 // Guards against an allowance that a gateway gathers while it stands still.
 Test(shared_rate_limits, gateways_that_stand_still_keep_a_limit, .timeout = 240)
 {
-    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
-        auto load = small_site(seed, seed % 2 == 0 ? 2.4 : 12);
-        load.has_freezes = true;
-        expect_within_limit(load);
-    }
+    rate_limit_load faults;
+    faults.has_freezes = true;
+    expect_small_sites_within_limit(faults, 2.4, 12);
 }
 
 // Guards against gateways that start with an allowance of their own.
 Test(shared_rate_limits, gateways_that_start_again_keep_a_limit, .timeout = 240)
 {
-    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
-        auto load = small_site(seed, seed % 2 == 0 ? 2.4 : 12);
-        load.has_restarts = true;
-        expect_within_limit(load);
-    }
+    rate_limit_load faults;
+    faults.has_restarts = true;
+    expect_small_sites_within_limit(faults, 2.4, 12);
     auto load = large_site(1, 2.4);
     load.has_restarts = true;
     expect_within_limit(load);
@@ -141,13 +143,11 @@
 // Guards against the same faults in series, overlapping.
 Test(shared_rate_limits, a_limit_is_kept_through_overlapping_faults, .timeout = 240)
 {
-    for (unsigned seed = 1; seed <= small_site_seeds; ++seed) {
-        auto load = small_site(seed, seed % 2 == 0 ? 1 : 6);
-        load.has_cuts = true;
-        load.has_freezes = true;
-        load.has_restarts = true;
-        expect_within_limit(load);
-    }
+    rate_limit_load faults;
+    faults.has_cuts = true;
+    faults.has_freezes = true;
+    faults.has_restarts = true;
+    expect_small_sites_within_limit(faults, 1, 6);
     // Gateways that started while they were cut off took themselves for the only ones with these.
     for (const unsigned seed : {105U, 119U, 147U, 157U}) {
         auto load = small_site(seed, 6);
