gateway: Log and count restores of the store, listings and ignored records

The store's epoch, which it states in all answers, now comes with each result; followers log its change, each listing (records, changes, end, position before) and ignored records, and the metrics show them by topic. 'records were deleted' is a sampled line: 162 of them were written in 4 s. No decision changes.

--- a/Source/gateway/config_state.cxx
+++ b/Source/gateway/config_state.cxx
@@ -11,6 +11,10 @@
     try {
         auto config = std::make_shared<const model::route_config>(this->decode_(record));
         if (config->version <= this->version()) {
+            this->log_.sample(log_level::info, "configuration is not newer",
+                              {{"version", static_cast<std::int64_t>(config->version)},
+                               {"in_force", static_cast<std::int64_t>(this->version())},
+                               {"source", source}});
             return false;
         }
         this->log_.note(log_level::info, "configuration in force",
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -481,6 +481,15 @@
         static_cast<double>(this->peer_exchange_->table().alive_peers(this->clock_.now()).size()));
     metrics.set("quarantined_parts", {},
                 static_cast<double>(this->gateway_.guard().quarantined().size()));
+    for (const auto& follower : {this->config_follower_, this->upstream_follower_}) {
+        if (follower) {
+            const auto label = fmt::format("topic=\"{}\"", follower->topic());
+            metrics.set("store_epoch", label, static_cast<double>(follower->store_epoch()));
+            metrics.set("topic_position", label, static_cast<double>(follower->position()));
+            metrics.set("topic_listings", label, static_cast<double>(follower->listings()));
+            metrics.set("ignored_records", label, static_cast<double>(follower->ignored_records()));
+        }
+    }
     metrics.set("map_switches", {}, static_cast<double>(this->coordination_.switches()));
     metrics.set("long_group_holds", {}, static_cast<double>(this->coordination_.long_holds()));
     metrics.set("log_lines_dropped", {}, static_cast<double>(dropped_log_lines()));
--- a/Source/gateway/keyed_log.h
+++ b/Source/gateway/keyed_log.h
@@ -16,10 +16,14 @@
 struct keyed_records {
     std::vector<policy::keyed_record> records;
     std::uint64_t next = 0;
+    std::uint64_t epoch = 0; ///< rises each time the store is restored from an older copy
 };
 
-/// The requested records were deleted; a listing still returns the newest record of each key.
-struct keyed_expired {};
+/// The topic does not have the requested offset, because its records were deleted or the store was
+/// restored. A listing still returns the newest record of each key.
+struct keyed_expired {
+    std::uint64_t epoch = 0; ///< as in keyed_records
+};
 
 /// The store did not respond, or responded with an error.
 struct keyed_unavailable {
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -59,17 +59,41 @@
     }
     this->set_available(true, {});
     this->backoff_ = this->options_.initial_backoff;
-    if (std::holds_alternative<keyed_expired>(result)) {
-        this->log_.note(log_level::warning, "records were deleted, listing again",
-                        {{"topic", this->options_.topic}});
+    if (const auto* expired = std::get_if<keyed_expired>(&result)) {
+        this->on_store_epoch(expired->epoch);
+        this->log_.sample(log_level::warning, "records were deleted, listing again",
+                          {{"topic", this->options_.topic},
+                           {"position", static_cast<std::int64_t>(this->topic_.next_offset())},
+                           {"store_epoch", static_cast<std::int64_t>(this->store_epoch_)}});
         this->needs_listing_ = true;
         this->start_read();
         return;
     }
-    const auto& page = std::get<keyed_records>(result);
-    const auto changes = this->needs_listing_ ? this->topic_.apply_listing(page.records, page.next)
-                                              : this->topic_.apply_records(page.records, page.next);
-    this->needs_listing_ = false;
+    this->on_page(std::get<keyed_records>(result));
+}
+
+void topic_follower::on_page(const keyed_records& page)
+{
+    this->on_store_epoch(page.epoch);
+    const bool is_listing = std::exchange(this->needs_listing_, false);
+    const auto position = this->topic_.next_offset();
+    const auto ignored = this->topic_.ignored_records();
+    const auto changes = is_listing ? this->topic_.apply_listing(page.records, page.next)
+                                    : this->topic_.apply_records(page.records, page.next);
+    if (is_listing) {
+        ++this->listings_;
+    }
+    if (is_listing || this->topic_.ignored_records() > ignored) {
+        this->log_.sample(
+            log_level::info, is_listing ? "topic listed" : "records ignored",
+            {{"topic", this->options_.topic},
+             {"records", static_cast<std::int64_t>(page.records.size())},
+             {"changes", static_cast<std::int64_t>(changes.size())},
+             {"ignored", static_cast<std::int64_t>(this->topic_.ignored_records() - ignored)},
+             {"end", static_cast<std::int64_t>(page.next)},
+             {"position_before", static_cast<std::int64_t>(position)},
+             {"store_epoch", static_cast<std::int64_t>(page.epoch)}});
+    }
     const bool first = !std::exchange(this->is_listed_, true);
     if (first || !changes.empty()) {
         this->report_changes(changes);
@@ -79,6 +103,19 @@
         std::max<duration>(this->options_.min_read_interval - elapsed, duration::zero()));
 }
 
+void topic_follower::on_store_epoch(std::uint64_t epoch)
+{
+    if (this->store_epoch_ == epoch) {
+        return;
+    }
+    this->log_.note(log_level::warning, "store was restored",
+                    {{"topic", this->options_.topic},
+                     {"store_epoch", static_cast<std::int64_t>(epoch)},
+                     {"previous", static_cast<std::int64_t>(this->store_epoch_)},
+                     {"position", static_cast<std::int64_t>(this->topic_.next_offset())}});
+    this->store_epoch_ = epoch;
+}
+
 void topic_follower::report_changes(const std::vector<policy::keyed_record>& changes)
 {
     try {
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -50,15 +50,28 @@
     /// @param position how far the peer has read
     void catch_up(std::uint64_t position);
 
+    [[nodiscard]] const std::string& topic() const { return this->options_.topic; }
+
     /// @return offset after the last record that was read
     [[nodiscard]] std::uint64_t position() const { return this->topic_.next_offset(); }
 
     /// @return whether a listing was completed
     [[nodiscard]] bool is_complete() const { return this->is_listed_; }
 
+    /// @return epoch of the store as of its last answer
+    [[nodiscard]] std::uint64_t store_epoch() const { return this->store_epoch_; }
+
+    /// @return number of listings
+    [[nodiscard]] std::uint64_t listings() const { return this->listings_; }
+
+    /// @return number of records that were ignored because a newer one of their key is known
+    [[nodiscard]] std::uint64_t ignored_records() const { return this->topic_.ignored_records(); }
+
 private:
     void start_read();
     void on_result(std::uint64_t read_id, const keyed_result& result);
+    void on_page(const keyed_records& page);
+    void on_store_epoch(std::uint64_t epoch);
     /// Passes changes on. Reading goes on if they cannot be used.
     void report_changes(const std::vector<policy::keyed_record>& changes);
     void on_failure(const std::string& reason);
@@ -73,6 +86,8 @@
     policy::keyed_topic topic_;
     event_log log_{"topic"};
     std::uint64_t read_id_ = 0; ///< of the pending read; results of earlier reads are ignored
+    std::uint64_t store_epoch_ = 0;
+    std::uint64_t listings_ = 0;
     bool is_listed_ = false;
     bool needs_listing_ = true;
     bool is_available_ = true;
--- a/Source/policy/keyed_topic.cxx
+++ b/Source/policy/keyed_topic.cxx
@@ -14,6 +14,7 @@
         listed.insert(record.key);
         const auto known = this->values_.find(record.key);
         if (known != this->values_.end() && known->second.offset >= record.offset) {
+            this->ignored_records_ += known->second.value != record.value ? 1 : 0;
             continue;
         }
         // The listing is older than the applied records, one of which removed the key.
@@ -45,6 +46,9 @@
         if (known == this->values_.end() || known->second.offset < record.offset) {
             newest[record.key] = &record;
         }
+        else {
+            ++this->ignored_records_;
+        }
     }
     std::vector<keyed_record> changes;
     for (const auto& [key, record] : newest) {
--- a/Source/policy/keyed_topic.h
+++ b/Source/policy/keyed_topic.h
@@ -37,6 +37,9 @@
     /// @return offset of the next record to read
     [[nodiscard]] std::uint64_t next_offset() const { return this->next_offset_; }
 
+    /// @return number of records that were ignored because a newer one of their key is known
+    [[nodiscard]] std::uint64_t ignored_records() const { return this->ignored_records_; }
+
 private:
     struct known_value {
         std::string value;
@@ -45,6 +48,7 @@
 
     std::map<std::string, known_value> values_;
     std::uint64_t next_offset_ = 0;
+    std::uint64_t ignored_records_ = 0;
 };
 
 } // namespace medlaryoke::policy
