--- a/Tests/gateway/test_topic_follower.cxx
+++ b/Tests/gateway/test_topic_follower.cxx
@@ -1,73 +1,18 @@
 #include "gateway/topic_follower.h"
 
 #include <chrono>
-#include <memory>
 #include <mutex>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
 #include <criterion/criterion.h>
 
-#include "fakes/fake_keyed_log.h"
+#include "gateway/followed_topic.h"
 
 using namespace medlaryoke;
 using namespace medlaryoke::gateway;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A follower of a fake store that records its callbacks.
-struct followed_topic {
-    followed_topic()
-    {
-        follower_options options;
-        options.topic = "t";
-        options.initial_backoff = 1ms;
-        options.min_read_interval = 0ms;
-        follower = std::make_shared<topic_follower>(
-            context, store, options,
-            [this](const std::vector<policy::keyed_record>& records) {
-                const std::scoped_lock lock(mutex);
-                for (const auto& it : records) {
-                    if (it.key == "poison") {
-                        throw std::runtime_error("this change cannot be used");
-                    }
-                    changes.push_back(it.key + "=" + it.value);
-                }
-            },
-            [this](bool available) {
-                const std::scoped_lock lock(mutex);
-                changes.push_back(available ? "back" : "away");
-            });
-        context.start();
-        context.post([this] { follower->start(); });
-    }
-    followed_topic(const followed_topic&) = delete;
-    followed_topic& operator=(const followed_topic&) = delete;
-    followed_topic(followed_topic&&) = delete;
-    followed_topic& operator=(followed_topic&&) = delete;
-    ~followed_topic() { context.stop(); }
-
-    /// Completes the next call, which must be of the given kind.
-    /// @return the call
-    fakes::fake_keyed_log::call answer(const std::string& what, const keyed_result& result)
-    {
-        auto call = store.next();
-        cr_assert(call.operation == what, "%s instead of %s", call.operation.c_str(), what.c_str());
-        context.post([done = call.done, result] { done(result); });
-        return call;
-    }
-
-    fakes::fake_keyed_log store;
-    transport::runtime context{1};
-    std::shared_ptr<topic_follower> follower;
-    std::mutex mutex;
-    std::vector<std::string> changes;
-};
-
-} // namespace
-
 // Guards against the end of an outage that is detected only with the next record. An upstream that
 // leaves long after the outage would then be treated as expired by it and still get requests.
 Test(topic_follower, detects_the_end_of_an_outage_at_once)
