gateway, policy: Compare offsets of the store only within one epoch

Cause: a position in the store was a bare offset. A restored store gives out offsets again, so the follower stayed at an offset past the end of the topic (410 and a listing ten times a second) until the topic had grown up to it, and never read the records below. Listings were merged by the greater offset. A read that the store answered in another history would have been applied as well. Evidence: the play with the epoch in the logs (listing ends at 3, follower at 4, epoch 1 to 2). Ruled out: the version (config_state turned nothing down), stale listings (the listing held what was written again at 17.23 s).

A position is now an epoch and an offset. A page of another epoch is never applied to known values: the topic is listed and the listing replaces them. Gateways tell each other positions with their epoch, so that one in the lost history is not taken for the one that has read furthest.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -189,8 +189,9 @@
         [this](policy::peer_heartbeat& heartbeat) {
             heartbeat.serving = this->is_ready();
             heartbeat.config_version = this->config_.version();
-            heartbeat.upstreams_position =
-                this->upstream_follower_ ? this->upstream_follower_->position() : 0;
+            heartbeat.upstreams_position = this->upstream_follower_
+                                               ? this->upstream_follower_->position()
+                                               : policy::log_position{};
             heartbeat.running = this->gateway_.running_by_upstream();
             heartbeat.quarantine = this->gateway_.guard().report();
             this->gateway_.limits().fill(heartbeat);
@@ -485,7 +486,7 @@
         if (follower) {
             const auto label = fmt::format("topic=\"{}\"", follower->topic());
             metrics.set("store_epoch", label, static_cast<double>(follower->store_epoch()));
-            metrics.set("topic_position", label, static_cast<double>(follower->position()));
+            metrics.set("topic_position", label, static_cast<double>(follower->position().offset));
             metrics.set("topic_listings", label, static_cast<double>(follower->listings()));
             metrics.set("ignored_records", label, static_cast<double>(follower->ignored_records()));
         }
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -31,7 +31,8 @@
     message.set_data_centre(heartbeat.data_centre);
     message.set_serving(heartbeat.serving);
     message.set_config_version(heartbeat.config_version);
-    message.set_upstreams_position(heartbeat.upstreams_position);
+    message.set_store_epoch(heartbeat.upstreams_position.epoch);
+    message.set_upstreams_position(heartbeat.upstreams_position.offset);
     for (const auto& [upstream, count] : heartbeat.running) {
         message.add_upstream(upstream);
         message.add_running(count);
@@ -67,7 +68,7 @@
     heartbeat.data_centre = message.data_centre();
     heartbeat.serving = message.serving();
     heartbeat.config_version = message.config_version();
-    heartbeat.upstreams_position = message.upstreams_position();
+    heartbeat.upstreams_position = {message.store_epoch(), message.upstreams_position()};
     const auto n = std::min(message.upstream_size(), message.running_size());
     for (int index = 0; index < n; ++index) {
         heartbeat.running[message.upstream(index)] = message.running(index);
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -20,15 +20,17 @@
     this->start_read();
 }
 
-void topic_follower::catch_up(std::uint64_t position)
+void topic_follower::catch_up(policy::log_position position)
 {
-    if (position <= this->topic_.next_offset() || !this->is_available_ || !this->is_listed_) {
+    if (position <= this->topic_.position() || !this->is_available_ || !this->is_listed_) {
         return;
     }
     this->log_.note(log_level::info, "read again, a peer is ahead",
                     {{"topic", this->options_.topic},
-                     {"position", static_cast<std::int64_t>(this->topic_.next_offset())},
-                     {"peer_position", static_cast<std::int64_t>(position)}});
+                     {"position", static_cast<std::int64_t>(this->topic_.position().offset)},
+                     {"peer_position", static_cast<std::int64_t>(position.offset)},
+                     {"store_epoch", static_cast<std::int64_t>(this->store_epoch_)},
+                     {"peer_epoch", static_cast<std::int64_t>(position.epoch)}});
     this->start_read();
 }
 
@@ -44,7 +46,7 @@
         // During an outage a read does not wait for a record, so that the end of the outage is
         // detected at once: entries removed soon after it are treated as expired by the outage.
         const auto wait = this->is_available_ ? this->options_.read_wait : duration::zero();
-        this->store_.read(this->options_.topic, this->topic_.next_offset(), wait, done);
+        this->store_.read(this->options_.topic, this->topic_.position().offset, wait, done);
     }
 }
 
@@ -63,7 +65,7 @@
         this->on_store_epoch(expired->epoch);
         this->log_.sample(log_level::warning, "records were deleted, listing again",
                           {{"topic", this->options_.topic},
-                           {"position", static_cast<std::int64_t>(this->topic_.next_offset())},
+                           {"position", static_cast<std::int64_t>(this->topic_.position().offset)},
                            {"store_epoch", static_cast<std::int64_t>(this->store_epoch_)}});
         this->needs_listing_ = true;
         this->start_read();
@@ -75,11 +77,17 @@
 void topic_follower::on_page(const keyed_records& page)
 {
     this->on_store_epoch(page.epoch);
+    if (!this->needs_listing_ && page.epoch != this->topic_.position().epoch) {
+        this->needs_listing_ = true;
+        this->start_read();
+        return;
+    }
     const bool is_listing = std::exchange(this->needs_listing_, false);
-    const auto position = this->topic_.next_offset();
+    const auto position = this->topic_.position().offset;
     const auto ignored = this->topic_.ignored_records();
-    const auto changes = is_listing ? this->topic_.apply_listing(page.records, page.next)
-                                    : this->topic_.apply_records(page.records, page.next);
+    const auto changes = is_listing
+                             ? this->topic_.apply_listing(page.records, {page.epoch, page.next})
+                             : this->topic_.apply_records(page.records, page.next);
     if (is_listing) {
         ++this->listings_;
     }
@@ -112,7 +120,7 @@
                     {{"topic", this->options_.topic},
                      {"store_epoch", static_cast<std::int64_t>(epoch)},
                      {"previous", static_cast<std::int64_t>(this->store_epoch_)},
-                     {"position", static_cast<std::int64_t>(this->topic_.next_offset())}});
+                     {"position", static_cast<std::int64_t>(this->topic_.position().offset)}});
     this->store_epoch_ = epoch;
 }
 
@@ -144,7 +152,7 @@
                     available ? "store answers again" : "store does not answer",
                     {{"topic", this->options_.topic},
                      {"reason", reason},
-                     {"position", static_cast<std::int64_t>(this->topic_.next_offset())}});
+                     {"position", static_cast<std::int64_t>(this->topic_.position().offset)}});
     this->on_available_(available);
 }
 
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -29,8 +29,8 @@
 };
 
 /// Follows one topic of the store: lists it, then reads new records by long polling, and lists it
-/// again when records that were not read yet were deleted. To be used on the thread of a
-/// single-threaded runtime.
+/// again when records that were not read yet were deleted or the store was restored. To be used on
+/// the thread of a single-threaded runtime.
 class topic_follower : public std::enable_shared_from_this<topic_follower> {
 public:
     using change_handler = std::function<void(const std::vector<policy::keyed_record>&)>;
@@ -48,12 +48,12 @@
 
     /// Replaces the pending read by a new one if a peer has read further.
     /// @param position how far the peer has read
-    void catch_up(std::uint64_t position);
+    void catch_up(policy::log_position position);
 
     [[nodiscard]] const std::string& topic() const { return this->options_.topic; }
 
-    /// @return offset after the last record that was read
-    [[nodiscard]] std::uint64_t position() const { return this->topic_.next_offset(); }
+    /// @return epoch of the last listing and offset after the last record that was read
+    [[nodiscard]] policy::log_position position() const { return this->topic_.position(); }
 
     /// @return whether a listing was completed
     [[nodiscard]] bool is_complete() const { return this->is_listed_; }
--- a/Source/policy/keyed_topic.cxx
+++ b/Source/policy/keyed_topic.cxx
@@ -2,12 +2,17 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace medlaryoke::policy {
 
 std::vector<keyed_record> keyed_topic::apply_listing(const std::vector<keyed_record>& records,
-                                                     std::uint64_t end_offset)
+                                                     log_position end)
 {
+    if (end.epoch != this->epoch_) {
+        return this->replace_values(records, end);
+    }
+    const auto end_offset = end.offset;
     std::vector<keyed_record> changes;
     std::set<std::string> listed;
     for (const auto& record : records) {
@@ -37,6 +42,29 @@
     return changes;
 }
 
+std::vector<keyed_record> keyed_topic::replace_values(const std::vector<keyed_record>& records,
+                                                      log_position end)
+{
+    std::vector<keyed_record> changes;
+    std::map<std::string, known_value> listed;
+    for (const auto& record : records) {
+        const auto known = this->values_.find(record.key);
+        if (known == this->values_.end() || known->second.value != record.value) {
+            changes.push_back(record);
+        }
+        listed[record.key] = {record.value, record.offset};
+    }
+    for (const auto& [key, known] : this->values_) {
+        if (!listed.contains(key)) {
+            changes.push_back({key, {}, end.offset});
+        }
+    }
+    this->values_ = std::move(listed);
+    this->epoch_ = end.epoch;
+    this->next_offset_ = end.offset;
+    return changes;
+}
+
 std::vector<keyed_record> keyed_topic::apply_records(const std::vector<keyed_record>& records,
                                                      std::uint64_t next_offset)
 {
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/log_position.h"
 #include "policy/prompt_quarantine.h"
 #include "policy/shared_rate_limits.h"
 
@@ -25,7 +26,7 @@
     bool serving = false; ///< accepts requests; false while it starts or shuts down
     std::uint64_t config_version = 0;
     std::vector<std::string> live_addresses; ///< beat addresses of gateways that it hears
-    std::uint64_t upstreams_position = 0;    ///< how far it has read the list of upstreams
+    log_position upstreams_position;         ///< how far it has read the list of upstreams
     std::unordered_map<std::uint64_t, unsigned> running; ///< running requests by upstream id
     std::optional<quarantine_report>
         quarantine;                           ///< what the gateway knows of crashes, if it is new
--- a/Tests/gateway/test_topic_follower.cxx
+++ b/Tests/gateway/test_topic_follower.cxx
@@ -46,12 +46,12 @@
     followed_topic topic;
     topic.answer("list", keyed_records{{}, 3});
     const auto silent = topic.store.next();
-    topic.context.post([&topic] { topic.follower->catch_up(3); });
-    topic.context.post([&topic] { topic.follower->catch_up(4); });
+    topic.context.post([&topic] { topic.follower->catch_up({0, 3}); });
+    topic.context.post([&topic] { topic.follower->catch_up({0, 4}); });
     topic.answer("read", keyed_records{{{"a", "1", 3}}, 4});
     cr_assert(topic.store.next().from == 4);
     topic.context.post([&silent] { silent.done(keyed_unavailable{"timed out"}); });
-    topic.context.post([&topic] { topic.follower->catch_up(5); });
+    topic.context.post([&topic] { topic.follower->catch_up({0, 5}); });
     topic.answer("read", keyed_records{{}, 4}); // the late failure of the silent read is ignored
     const std::scoped_lock lock(topic.mutex);
     cr_assert(topic.changes == std::vector<std::string>({"a=1"}));
