tests: Restore the stand-in store; reproduce what else a restore breaks

The store of the soak keeps the time of each record, can be restored from a copy of any age, raises its epoch, which all answers state, answers 410 past its end, and gives out offsets again. The operator and the upstreams write again what was lost; removals come back by expiry.

--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -1,6 +1,8 @@
 #include "Soak/soak_store.h"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 
 #include <nlohmann/json.hpp>
 
@@ -41,15 +43,99 @@
                               const std::string& value)
 {
     const std::scoped_lock lock(this->mutex_);
+    return this->append_record(topic, key, value);
+}
+
+std::uint64_t soak_store::append_record(const std::string& topic, const std::string& key,
+                                        const std::string& value)
+{
     auto& log = this->topics_[topic];
-    log.records.emplace_back(key, value);
-    if (value.empty()) {
-        log.newest.erase(key);
+    log.records.push_back({key, value, std::chrono::steady_clock::now()});
+    index(log, log.records.size() - 1);
+    return log.records.size() - 1;
+}
+
+void soak_store::index(topic_log& log, std::size_t offset)
+{
+    const auto& record = log.records[offset];
+    if (record.value.empty()) {
+        log.newest.erase(record.key);
     }
     else {
-        log.newest[key] = log.records.size() - 1;
+        log.newest[record.key] = offset;
+    }
+}
+
+std::string soak_store::value(const std::string& topic, const std::string& key) const
+{
+    const std::scoped_lock lock(this->mutex_);
+    const auto log = this->topics_.find(topic);
+    if (log == this->topics_.end() || !log->second.newest.contains(key)) {
+        return {};
+    }
+    return log->second.records[log->second.newest.at(key)].value;
+}
+
+void soak_store::restore(const restore_options& options)
+{
+    const std::scoped_lock lock(this->mutex_);
+    ++this->epoch_;
+    this->restored_at_ = std::chrono::steady_clock::now();
+    this->state_ = store_state::refuses;
+    const auto lost = this->drop_records_since(options.copied_at);
+    std::vector<lost_value> values;
+    std::vector<lost_value> removals;
+    std::ranges::partition_copy(lost, std::back_inserter(values), std::back_inserter(removals),
+                                [](const lost_value& it) { return !it.value.empty(); });
+    const auto epoch = this->epoch_.load();
+    this->runtime_.after(options.outage, [this, epoch] {
+        const std::scoped_lock inner(this->mutex_);
+        if (this->epoch_ == epoch) {
+            this->state_ = store_state::works;
+        }
+    });
+    this->runtime_.after(options.outage + options.rewrite_after,
+                         [this, values, epoch] { this->write_again(values, epoch); });
+    this->runtime_.after(options.outage + options.expire_after,
+                         [this, removals, epoch] { this->write_again(removals, epoch); });
+}
+
+std::vector<soak_store::lost_value> soak_store::drop_records_since(time_point since)
+{
+    std::vector<lost_value> lost;
+    for (auto& [topic, log] : this->topics_) {
+        const auto first = std::ranges::find_if(
+            log.records, [since](const auto& it) { return it.written_at > since; });
+        // Gateways write topics of their own again by themselves.
+        const bool is_written_again = topic == "keyed.op" || topic == "keyed.servers";
+        std::map<std::string, std::string> newest;
+        for (auto it = first; is_written_again && it != log.records.end(); ++it) {
+            newest[it->key] = it->value;
+        }
+        for (const auto& [key, value] : newest) {
+            lost.push_back({topic, key, value});
+        }
+        log.records.erase(first, log.records.end());
+        log.newest.clear();
+        for (std::size_t n = 0; n < log.records.size(); ++n) {
+            index(log, n);
+        }
+    }
+    return lost;
+}
+
+void soak_store::write_again(const std::vector<lost_value>& lost, std::uint64_t epoch)
+{
+    const std::scoped_lock lock(this->mutex_);
+    for (const auto& it : lost) {
+        const auto& log = this->topics_[it.topic];
+        const auto found = log.newest.find(it.key);
+        const bool is_newer =
+            found != log.newest.end() && log.records[found->second].written_at > this->restored_at_;
+        if (epoch == this->epoch_ && !is_newer) {
+            this->append_record(it.topic, it.key, it.value);
+        }
     }
-    return log.records.size() - 1;
 }
 
 void soak_store::put_upstream(const soak_upstream& upstream, const std::string& state)
@@ -114,7 +200,7 @@
         return;
     }
     if (state == store_state::refuses) {
-        standins::respond_json(*reply, 503, {{"error", "down"}});
+        this->respond(reply, 503, R"({"error":"down"})");
         return;
     }
     const auto target = standins::parse_target(request.target);
@@ -128,7 +214,7 @@
     else {
         const auto wait = std::chrono::milliseconds(standins::query_number(target, "waitMs", 0));
         this->read_records(topic, standins::query_number(target, "from", 0),
-                           std::chrono::steady_clock::now() + wait, reply);
+                           std::chrono::steady_clock::now() + wait, this->epoch_, reply);
     }
 }
 
@@ -138,7 +224,15 @@
     const auto record = request.body.substr(length_bytes);
     const auto key_size = static_cast<unsigned char>(record.at(0));
     const auto offset = this->put(topic, record.substr(1, key_size), record.substr(1U + key_size));
-    standins::respond_json(*reply, 200, {{"offset", offset}, {"end", offset + 1}});
+    this->respond(reply, 200, nlohmann::json{{"offset", offset}, {"end", offset + 1}}.dump());
+}
+
+void soak_store::respond(const response& reply, unsigned status, const std::string& body) const
+{
+    reply->respond(
+        {{status,
+          {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(this->epoch_)}}},
+         body});
 }
 
 void soak_store::list_newest(const std::string& topic, const response& reply)
@@ -149,29 +243,41 @@
     for (const auto& [key, offset] : log.newest) {
         items.push_back({{"key", key},
                          {"offset", offset},
-                         {"value", transport::encode_base64(log.records[offset].second)}});
+                         {"value", transport::encode_base64(log.records[offset].value)}});
     }
-    standins::respond_json(*reply, 200,
-                           {{"items", items}, {"hasMore", false}, {"end", log.records.size()}});
+    this->respond(
+        reply, 200,
+        nlohmann::json{{"items", items}, {"hasMore", false}, {"end", log.records.size()}}.dump());
 }
 
 void soak_store::read_records(const std::string& topic, std::size_t from, time_point until,
-                              const response& reply)
+                              std::uint64_t epoch, const response& reply)
 {
     constexpr auto poll_interval = 20ms;
     const std::scoped_lock lock(this->mutex_);
+    if (epoch != this->epoch_) {
+        reply->abort(); // the store went away while the read waited
+        return;
+    }
     const auto& log = this->topics_[topic];
+    if (from > log.records.size()) {
+        this->respond(reply, 410, R"({"first":0})");
+        return;
+    }
     if (log.records.size() <= from && std::chrono::steady_clock::now() < until) {
-        this->runtime_.after(poll_interval, [this, topic, from, until, reply] {
-            this->read_records(topic, from, until, reply);
+        this->runtime_.after(poll_interval, [this, topic, from, until, epoch, reply] {
+            this->read_records(topic, from, until, epoch, reply);
         });
         return;
     }
     auto body = big_endian(log.records.size(), offset_bytes) + big_endian(0, offset_bytes);
     for (std::size_t n = from; n < log.records.size(); ++n) {
-        body += platform::encode_record(log.records[n].first, log.records[n].second);
+        body += platform::encode_record(log.records[n].key, log.records[n].value);
     }
-    reply->respond({{200, {{"Content-Type", "application/octet-stream"}}}, body});
+    reply->respond({{200,
+                     {{"Content-Type", "application/octet-stream"},
+                      {"Store-Era", std::to_string(this->epoch_)}}},
+                    body});
 }
 
 } // namespace medlaryoke::soak
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <atomic>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -7,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/clock.h"
 #include "Soak/soak_upstream.h"
 #include "transport/http_server.h"
 #include "transport/runtime.h"
@@ -64,23 +67,59 @@
     /// @param state how the store handles calls from now on
     void set_state(store_state state);
 
+    /// How the store is restored from a copy.
+    struct restore_options {
+        time_point copied_at{};                    ///< what was written since is lost
+        std::chrono::milliseconds outage{};        ///< calls are refused for this time
+        std::chrono::milliseconds rewrite_after{}; ///< from the end of the outage
+        std::chrono::milliseconds expire_after{};  ///< from the end of the outage
+    };
+
+    /// Restores the store: topics lose their newest records, their offsets are given out again, and
+    /// the epoch rises. The operator and the upstreams write what they wrote again after a time;
+    /// entries of upstreams that were removed expire again.
+    void restore(const restore_options& options);
+
+    /// @return current value of a key; empty if there is none
+    [[nodiscard]] std::string value(const std::string& topic, const std::string& key) const;
+
 private:
     struct topic_log {
-        std::vector<std::pair<std::string, std::string>> records;
+        struct record {
+            std::string key;
+            std::string value;
+            time_point written_at{};
+        };
+        std::vector<record> records;
         std::map<std::string, std::size_t> newest; ///< offset of the newest record of each key
     };
+    /// A value that was lost in a restore, or the removal of its key.
+    struct lost_value {
+        std::string topic;
+        std::string key;
+        std::string value; ///< empty if the key was removed
+    };
     using response = std::shared_ptr<transport::response_stream>;
 
+    std::uint64_t append_record(const std::string& topic, const std::string& key,
+                                const std::string& value);
+    static void index(topic_log& log, std::size_t offset);
+    std::vector<lost_value> drop_records_since(time_point since);
+    /// Writes lost values whose keys were not written since the restore.
+    void write_again(const std::vector<lost_value>& lost, std::uint64_t epoch);
+    void respond(const response& reply, unsigned status, const std::string& body) const;
     void handle(const transport::http_request& request, const response& reply);
     void append(const transport::http_request& request, const std::string& topic,
                 const response& reply);
     void list_newest(const std::string& topic, const response& reply);
     void read_records(const std::string& topic, std::size_t from, time_point until,
-                      const response& reply);
+                      std::uint64_t epoch, const response& reply);
 
     transport::runtime& runtime_;
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::map<std::string, topic_log> topics_;
+    std::atomic<std::uint64_t> epoch_ = 1;
+    time_point restored_at_{};
     store_state state_ = store_state::works;
     transport::http_server server_;
 };
