policy, gateway: Do not let a restored copy undo that an upstream leaves

What callers saw: after a restore, requests were sent to upstreams that had said that they were leaving, or had left, because the copy listed them as ready; those sent to a stopped one cost an attempt each. Cause: entries of a listing replaced what was known, as they follow it in the log.

Changes now state whether they follow what is known or come from a restored copy. A restore begins a recovery period also for a gateway that did not notice the outage.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -84,7 +84,7 @@
 gateway_process::gateway_process(gateway_settings settings, deployment adapter)
     : settings_(std::move(settings)), adapter_(std::move(adapter)), config_(adapter_.decode_config),
       gateway_(context_, clock_, make_gateway_options(settings_, adapter_), config_),
-      registry_(settings_.upstream_return_time),
+      registry_(settings_.upstreams),
       coordination_(
           context_, clock_,
           [this](const std::string& group, std::function<void(std::optional<std::uint64_t>)> done) {
@@ -216,10 +216,14 @@
         return follower;
     };
     this->config_follower_ = follow(
-        this->adapter_.config_topic, [this](const auto& it) { this->on_config_changes(it); },
+        this->adapter_.config_topic,
+        [this](const auto& it, policy::change_origin) { this->on_config_changes(it); },
         [](bool) {});
     this->upstream_follower_ = follow(
-        this->adapter_.upstreams_topic, [this](const auto& it) { this->on_upstream_changes(it); },
+        this->adapter_.upstreams_topic,
+        [this](const auto& it, policy::change_origin origin) {
+            this->on_upstream_changes(it, origin);
+        },
         [this](bool available) { this->registry_.on_store(available, this->clock_.now()); });
     this->keep_quarantines();
     this->publish_heartbeat_address();
@@ -302,15 +306,19 @@
     }
 }
 
-void gateway_process::on_upstream_changes(const std::vector<policy::keyed_record>& changes)
+void gateway_process::on_upstream_changes(const std::vector<policy::keyed_record>& changes,
+                                          policy::change_origin origin)
 {
     const auto now = this->clock_.now();
+    if (origin == policy::change_origin::restored_copy) {
+        this->registry_.on_restored(now);
+    }
     for (const auto& change : changes) {
         const auto entry = change.value.empty()
                                ? std::nullopt
                                : this->adapter_.decode_upstream(change.key, change.value);
         if (entry) {
-            this->registry_.on_entry(*entry);
+            this->registry_.on_entry(*entry, origin, now);
         }
         else {
             this->registry_.on_removed(change.key, now);
@@ -322,7 +330,8 @@
                            {"address", entry ? entry->address : ""},
                            {"state", !entry            ? "removed"
                                      : entry->draining ? "draining"
-                                                       : "ready"}});
+                                                       : "ready"},
+                           {"from_restored_copy", origin == policy::change_origin::restored_copy}});
     }
     this->update_upstreams();
 }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -39,9 +39,8 @@
     bool engines_check_tokens = false;
     /// Time from the termination signal until the process is killed.
     duration grace_period = std::chrono::seconds(8);
-    /// After an outage of the store, an upstream that is missing from the list stays in use for
-    /// this time, within which running upstreams are listed again.
-    duration upstream_return_time = std::chrono::milliseconds(2300);
+    /// How the list of upstreams behaves after an outage or a restore of the store.
+    policy::registry_options upstreams;
 };
 
 /// Address of a gateway as returned to callers by the directory.
@@ -103,7 +102,8 @@
     void refresh_peer_addresses();
     void keep_quarantines();
     void on_config_changes(const std::vector<policy::keyed_record>& changes);
-    void on_upstream_changes(const std::vector<policy::keyed_record>& changes);
+    void on_upstream_changes(const std::vector<policy::keyed_record>& changes,
+                             policy::change_origin origin);
 
     /// Updates the load of other gateways, and catches up if one has newer data.
     void on_peer_heartbeat(const policy::peer_heartbeat& heartbeat, bool was_silent);
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -83,7 +83,7 @@
         return;
     }
     const bool is_listing = std::exchange(this->needs_listing_, false);
-    const auto position = this->topic_.position().offset;
+    const auto position = this->topic_.position();
     const auto ignored = this->topic_.ignored_records();
     const auto changes = is_listing
                              ? this->topic_.apply_listing(page.records, {page.epoch, page.next})
@@ -99,12 +99,14 @@
              {"changes", static_cast<std::int64_t>(changes.size())},
              {"ignored", static_cast<std::int64_t>(this->topic_.ignored_records() - ignored)},
              {"end", static_cast<std::int64_t>(page.next)},
-             {"position_before", static_cast<std::int64_t>(position)},
+             {"position_before", static_cast<std::int64_t>(position.offset)},
              {"store_epoch", static_cast<std::int64_t>(page.epoch)}});
     }
     const bool first = !std::exchange(this->is_listed_, true);
-    if (first || !changes.empty()) {
-        this->report_changes(changes);
+    const bool is_restored = !first && page.epoch != position.epoch;
+    if (first || is_restored || !changes.empty()) {
+        this->report_changes(changes, is_restored ? policy::change_origin::restored_copy
+                                                  : policy::change_origin::log);
     }
     const auto elapsed = std::chrono::steady_clock::now() - this->read_started_at_;
     this->start_read_after(
@@ -124,10 +126,11 @@
     this->store_epoch_ = epoch;
 }
 
-void topic_follower::report_changes(const std::vector<policy::keyed_record>& changes)
+void topic_follower::report_changes(const std::vector<policy::keyed_record>& changes,
+                                    policy::change_origin origin)
 {
     try {
-        this->on_changes_(changes);
+        this->on_changes_(changes, origin);
     }
     catch (const std::exception& e) {
         this->log_.note(log_level::error, "changes cannot be used",
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -33,13 +33,15 @@
 /// the thread of a single-threaded runtime.
 class topic_follower : public std::enable_shared_from_this<topic_follower> {
 public:
-    using change_handler = std::function<void(const std::vector<policy::keyed_record>&)>;
+    using change_handler =
+        std::function<void(const std::vector<policy::keyed_record>&, policy::change_origin)>;
     using availability_handler = std::function<void(bool available)>;
 
     /// @param context runs the reads
     /// @param store holds the topic; must outlive the runtime's last callback
     /// @param options name of the topic and timing
-    /// @param on_changes called with the newest change of each key; an empty value removes the key
+    /// @param on_changes called with the newest change of each key and where it comes from; an
+    /// empty value removes the key
     /// @param on_available called when the store becomes available or unavailable
     topic_follower(transport::runtime& context, keyed_log& store, follower_options options,
                    change_handler on_changes, availability_handler on_available);
@@ -73,7 +75,8 @@
     void on_page(const keyed_records& page);
     void on_store_epoch(std::uint64_t epoch);
     /// Passes changes on. Reading goes on if they cannot be used.
-    void report_changes(const std::vector<policy::keyed_record>& changes);
+    void report_changes(const std::vector<policy::keyed_record>& changes,
+                        policy::change_origin origin);
     void on_failure(const std::string& reason);
     void set_available(bool available, const std::string& reason);
     void start_read_after(duration delay);
--- a/Source/policy/keyed_topic.h
+++ b/Source/policy/keyed_topic.h
@@ -16,6 +16,12 @@
     std::uint64_t offset = 0;
 };
 
+/// Where changes of a topic come from.
+enum class change_origin {
+    log,           ///< they follow what is known
+    restored_copy, ///< a listing of a restored store: values may be older than what is known
+};
+
 /// The current value of each key of a topic as known to one reader. Values never revert to older
 /// ones: records in a listing from a lagging replica are ignored if newer records of their keys are
 /// known. In a new epoch of the store no offset is known, and the listing replaces all values.
--- a/Tests/gateway/followed_topic.h
+++ b/Tests/gateway/followed_topic.h
@@ -25,13 +25,14 @@
         options.min_read_interval = {};
         follower = std::make_shared<topic_follower>(
             context, store, options,
-            [this](const std::vector<policy::keyed_record>& records) {
+            [this](const std::vector<policy::keyed_record>& records, policy::change_origin origin) {
                 const std::scoped_lock lock(mutex);
                 for (const auto& it : records) {
                     if (it.key == "poison") {
                         throw std::runtime_error("this change cannot be used");
                     }
-                    changes.push_back(it.key + "=" + it.value);
+                    const bool is_copy = origin == policy::change_origin::restored_copy;
+                    changes.push_back((is_copy ? "copy " : "") + it.key + "=" + it.value);
                 }
             },
             [this](bool available) {
--- a/Tests/gateway/test_restored_store.cxx
+++ b/Tests/gateway/test_restored_store.cxx
@@ -33,7 +33,8 @@
     topic.answer("list", keyed_records{{{"a", "2", 2}, {"b", "2", 3}, {"c", "1", 4}}, 5, 2});
     cr_assert(topic.store.next().from == 5);
     const std::scoped_lock lock(topic.mutex);
-    cr_assert(topic.changes == std::vector<std::string>({"a=1", "b=1", "a=2", "b=2", "c=1"}));
+    cr_assert(topic.changes ==
+              std::vector<std::string>({"a=1", "b=1", "copy a=2", "copy b=2", "copy c=1"}));
 }
 
 // Guards against a second restore during the listing that follows the first one.
@@ -50,6 +51,6 @@
     cr_assert(topic.answer("read", keyed_records{{{"b", "3", 1}}, 2, 4}).from == 1);
     cr_assert(topic.store.next().from == 2);
     const std::scoped_lock lock(topic.mutex);
-    cr_assert(topic.changes ==
-              std::vector<std::string>({"a=1", "b=1", "away", "back", "b=", "b=2", "b=", "b=3"}));
+    cr_assert(topic.changes == std::vector<std::string>({"a=1", "b=1", "away", "back",
+                                                         "copy b=", "b=2", "copy b=", "b=3"}));
 }
