policy, gateway: Raise fencing tokens over restores of the store

What happened: a fencing token was an offset plus one. Callers saw long steps after popularity had shifted.

Tokens now hold the epoch of the store, which comes with the acknowledgement, above the offset. 24 bits of offset leave map versions (token and 20 bits) exact as JSON numbers for 512 restores.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -88,10 +88,12 @@
       coordination_(
           context_, clock_,
           [this](const std::string& group, std::function<void(std::optional<std::uint64_t>)> done) {
-              this->store_->put(this->adapter_.coordinators_topic, group, this->settings_.instance,
-                                [done = std::move(done)](std::optional<std::uint64_t> offset) {
-                                    done(offset ? std::optional(*offset + 1) : std::nullopt);
-                                });
+              this->store_->put(
+                  this->adapter_.coordinators_topic, group, this->settings_.instance,
+                  [done = std::move(done)](std::optional<policy::log_position> position) {
+                      done(position ? std::optional(policy::fencing_token(*position))
+                                    : std::nullopt);
+                  });
           },
           [this](const std::string& address) {
               return this->adapter_.make_engine_client(this->context_, address);
@@ -253,8 +255,8 @@
 {
     this->store_->put(this->adapter_.gateways_topic, this->settings_.instance,
                       this->settings_.heartbeat_address,
-                      [this](std::optional<std::uint64_t> offset) {
-                          if (!offset && !this->is_draining_) {
+                      [this](std::optional<policy::log_position> position) {
+                          if (!position && !this->is_draining_) {
                               this->context_.after(publish_retry_delay,
                                                    [this] { this->publish_heartbeat_address(); });
                           }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -57,7 +57,7 @@
     std::string upstreams_topic;
     std::string gateways_topic;     ///< heartbeat addresses, written by the gateways
     std::string quarantine_topic;   ///< quarantined parts of prompts, written by the gateways
-    std::string coordinators_topic; ///< written by coordinators; offset + 1 is the fencing token
+    std::string coordinators_topic; ///< written by coordinators; see policy::fencing_token
     /// Creates a client for an engine on another machine.
     std::function<std::unique_ptr<experts::lockstep_engine>(transport::runtime&,
                                                             const std::string& address)>
--- a/Source/gateway/keyed_log.h
+++ b/Source/gateway/keyed_log.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "policy/keyed_topic.h"
+#include "policy/log_position.h"
 
 namespace medlaryoke::gateway {
 
@@ -60,9 +61,10 @@
     /// @param topic name of the topic
     /// @param key at most 255 bytes
     /// @param value not empty
-    /// @param done called once with the record's offset; empty if the store did not acknowledge it
+    /// @param done called once with the record's position; empty if the store did not acknowledge
+    /// it
     virtual void put(const std::string& topic, const std::string& key, const std::string& value,
-                     std::function<void(std::optional<std::uint64_t>)> done) = 0;
+                     std::function<void(std::optional<policy::log_position>)> done) = 0;
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/quarantine_store.cxx
+++ b/Source/gateway/quarantine_store.cxx
@@ -76,8 +76,8 @@
         encode_quarantine(*found, this->clock_.now(), std::chrono::system_clock::now());
     this->store_.put(
         this->topic_, part, record,
-        [self = this->shared_from_this(), part](std::optional<std::uint64_t> offset) {
-            if (offset) {
+        [self = this->shared_from_this(), part](std::optional<policy::log_position> position) {
+            if (position) {
                 self->guard_.on_stored(part);
                 self->log_.note(log_level::info, "quarantine stored", {{"prompt_part", part}});
                 return;
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -115,15 +115,15 @@
 
 void topic_follower::on_store_epoch(std::uint64_t epoch)
 {
-    if (this->store_epoch_ == epoch) {
+    const auto previous = std::exchange(this->store_epoch_, epoch);
+    if (previous == epoch || !this->is_listed_) {
         return;
     }
     this->log_.note(log_level::warning, "store was restored",
                     {{"topic", this->options_.topic},
                      {"store_epoch", static_cast<std::int64_t>(epoch)},
-                     {"previous", static_cast<std::int64_t>(this->store_epoch_)},
+                     {"previous", static_cast<std::int64_t>(previous)},
                      {"position", static_cast<std::int64_t>(this->topic_.position().offset)}});
-    this->store_epoch_ = epoch;
 }
 
 void topic_follower::report_changes(const std::vector<policy::keyed_record>& changes,
--- a/Tests/fakes/fake_keyed_log.h
+++ b/Tests/fakes/fake_keyed_log.h
@@ -34,7 +34,7 @@
     }
 
     void put(const std::string& /*topic*/, const std::string& /*key*/, const std::string& /*value*/,
-             std::function<void(std::optional<std::uint64_t>)> done) override
+             std::function<void(std::optional<policy::log_position>)> done) override
     {
         done(std::nullopt);
     }
--- a/Tests/platform/test_platform_store.cxx
+++ b/Tests/platform/test_platform_store.cxx
@@ -15,10 +15,10 @@
 
 const std::string read_header(16, '\0');
 
-std::string json_answer(unsigned status, const std::string& body)
+std::string json_answer(unsigned status, const std::string& body, unsigned epoch = 1)
 {
-    return "HTTP/1.1 " + std::to_string(status) +
-           " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\nStore-Era: " + std::to_string(epoch) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 /// A client of the store, and the socket on which the test acts as the store.
@@ -110,17 +110,17 @@
 {
     for (const bool acknowledged : {true, false}) {
         scripted_store store;
-        std::promise<std::optional<std::uint64_t>> offset;
-        store.log.put("keyed.t", "k", "v", [&offset](auto it) { offset.set_value(it); });
+        std::promise<std::optional<policy::log_position>> position;
+        store.log.put("keyed.t", "k", "v", [&position](auto it) { position.set_value(it); });
         {
             const auto connection = store.listener.accept();
             const auto text = connection.read_until(encode_record("k", "v"));
             cr_assert(text.starts_with("POST /log-append?topic=keyed.t&part=0 "));
             if (acknowledged) {
-                connection.send(json_answer(200, R"({"offset":8,"end":9})"));
+                connection.send(json_answer(200, R"({"offset":8,"end":9})", 3));
             }
         }
-        cr_assert(offset.get_future().get() ==
-                  (acknowledged ? std::optional<std::uint64_t>(8) : std::nullopt));
+        cr_assert(position.get_future().get() ==
+                  (acknowledged ? std::optional(policy::log_position{3, 8}) : std::nullopt));
     }
 }
