--- a/Tests/platform/test_platform_store.cxx
+++ b/Tests/platform/test_platform_store.cxx
@@ -105,6 +105,29 @@
     }
 }
 
+// Guards against a listing whose pages come from two histories, in which offsets and keys do not
+// belong together.
+Test(platform_store, lists_again_when_restored_between_two_pages)
+{
+    scripted_store store;
+    store.log.list("keyed.t", [&store](auto it) { store.result.set_value(std::move(it)); });
+    const auto connection = store.listener.accept();
+    const auto page = [](const std::string& key, const std::string& rest) {
+        return R"({"items":[{"key":")" + key + R"(","value":")" + transport::encode_base64("1") +
+               R"(","offset":3}],)" + rest + "}";
+    };
+    cr_assert(connection.read_until("\r\n\r\n").starts_with("GET /log-newest"));
+    connection.send(json_answer(200, page("a", R"("hasMore":true,"end":9)"), 1));
+    cr_assert(connection.read_until("\r\n\r\n").find("&after=a ") != std::string::npos);
+    connection.send(json_answer(200, page("c", R"("hasMore":false,"end":4)"), 2));
+    cr_assert(connection.read_until("\r\n\r\n").find("&after=") == std::string::npos);
+    connection.send(json_answer(200, page("b", R"("hasMore":false,"end":4)"), 2));
+    const auto result = store.result.get_future().get();
+    const auto& listing = std::get<gateway::keyed_records>(result);
+    cr_assert(listing.next == 4 && listing.epoch == 2);
+    cr_assert(listing.records.size() == 1 && listing.records[0].key == "b");
+}
+
 // Guards against a fencing token from a record that the store did not acknowledge.
 Test(platform_store, returns_the_offset_of_a_record_only_if_it_was_acknowledged)
 {
