gateway: Write the heartbeat address again when the store is restored

A gateway wrote its address once, when it started. A restore may lose the record: gateways that start later and know none of its seeds' peers would not find it, also when all others are replaced. The epoch of the acknowledgement is now kept and the address is written again when a follower sees a later one; the comparison covers an address that was acknowledged before the first listing, too.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -256,13 +256,29 @@
     this->store_->put(this->adapter_.gateways_topic, this->settings_.instance,
                       this->settings_.heartbeat_address,
                       [this](std::optional<policy::log_position> position) {
-                          if (!position && !this->is_draining_) {
+                          if (position) {
+                              this->address_epoch_ = position->epoch;
+                          }
+                          else if (!this->is_draining_) {
                               this->context_.after(publish_retry_delay,
                                                    [this] { this->publish_heartbeat_address(); });
                           }
                       });
 }
 
+void gateway_process::rewrite_own_records()
+{
+    const auto epoch =
+        std::max(this->config_follower_->store_epoch(), this->upstream_follower_->store_epoch());
+    if (this->address_epoch_ && *this->address_epoch_ < epoch) {
+        this->log_.note(log_level::info, "heartbeat address is written again",
+                        {{"store_epoch", static_cast<std::int64_t>(epoch)},
+                         {"previous", static_cast<std::int64_t>(*this->address_epoch_)}});
+        this->address_epoch_.reset();
+        this->publish_heartbeat_address();
+    }
+}
+
 void gateway_process::refresh_peer_addresses()
 {
     this->store_->list(this->adapter_.gateways_topic, [this](const keyed_result& result) {
@@ -439,6 +455,7 @@
 {
     // First, so that a failure does not end the ticks.
     this->context_.after(tick_interval, [this] { this->tick(); });
+    this->rewrite_own_records();
     if (this->registry_.expire(this->clock_.now())) {
         this->update_upstreams();
     }
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -95,9 +95,12 @@
     void start_followers();
 
     /// Writes this gateway's heartbeat address to the gateways' topic; retries until the store
-    /// accepts it.
+    /// accepts it. A restore may lose it again.
     void publish_heartbeat_address();
 
+    /// Writes again what this gateway keeps in the store if the store was restored.
+    void rewrite_own_records();
+
     /// Lists the gateways' topic regularly and sends heartbeats to the addresses in it.
     void refresh_peer_addresses();
     void keep_quarantines();
@@ -165,6 +168,9 @@
     /// Connects to the peer from which the configuration is fetched.
     std::unique_ptr<transport::http_client> config_client_;
     time_point started_at_{};
+    /// Epoch of the store in which it acknowledged the heartbeat address; empty while a call is
+    /// open.
+    std::optional<std::uint64_t> address_epoch_;
     time_point last_request_at_{};
     time_point last_busy_at_{}; ///< when stop_when_idle() last found open requests
     /// When this gateway had the lowest name while most known peers were silent; empty otherwise.
