gateway, policy: Store quarantines again when the store is restored

A quarantine counted as stored once a gateway had written it. A restore may lose the record, and a restart of all gateways then sends requests to the upstreams that they end (BUDGET). What counts now is the latest epoch in which a quarantine was written, told to peers in place of the flag; a later epoch, or an acknowledgement of an earlier one that arrives late, makes the gateway that is first by name write it again.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -279,6 +279,7 @@
         this->address_epoch_.reset();
         this->publish_heartbeat_address();
     }
+    this->quarantine_store_->on_store_epoch(epoch);
 }
 
 void gateway_process::refresh_peer_addresses()
--- a/Source/gateway/prompt_guard.cxx
+++ b/Source/gateway/prompt_guard.cxx
@@ -79,9 +79,9 @@
     }
 }
 
-void prompt_guard::on_stored(const std::string& part)
+void prompt_guard::on_stored(const std::string& part, std::uint64_t epoch)
 {
-    this->quarantine_.on_stored(part, this->clock_.now());
+    this->quarantine_.on_stored(part, epoch, this->clock_.now());
 }
 
 void prompt_guard::announce(const std::vector<policy::quarantined_part>& parts,
--- a/Source/gateway/prompt_guard.h
+++ b/Source/gateway/prompt_guard.h
@@ -76,7 +76,9 @@
     void adopt(const policy::quarantined_part& part);
 
     /// Notes that a quarantine was written to the store.
-    void on_stored(const std::string& part);
+    /// @param part that is quarantined
+    /// @param epoch of the store that acknowledged it
+    void on_stored(const std::string& part, std::uint64_t epoch);
 
     /// @return the parts that are quarantined
     [[nodiscard]] std::vector<policy::quarantined_part> quarantined() const
--- a/Source/gateway/quarantine_codec.cxx
+++ b/Source/gateway/quarantine_codec.cxx
@@ -50,7 +50,9 @@
         quarantine.set_part(it.part);
         quarantine.set_since_ms(to_ms(it.since));
         quarantine.set_left_ms(to_ms(it.left));
-        quarantine.set_is_stored(it.is_stored);
+        if (it.stored_epoch) {
+            quarantine.set_stored_epoch(*it.stored_epoch);
+        }
         quarantine.set_is_tested(it.is_tested);
     }
 }
@@ -71,8 +73,10 @@
         report.answers.push_back({it.part(), from_ms(it.ago_ms())});
     }
     for (const auto& it : message.quarantine()) {
-        report.quarantined.push_back({it.part(), from_ms(it.since_ms()), from_ms(it.left_ms()),
-                                      it.is_stored(), it.is_tested()});
+        report.quarantined.push_back(
+            {it.part(), from_ms(it.since_ms()), from_ms(it.left_ms()),
+             it.has_stored_epoch() ? std::optional(it.stored_epoch()) : std::nullopt,
+             it.is_tested()});
     }
     return report;
 }
@@ -89,8 +93,8 @@
 }
 
 std::optional<policy::quarantined_part>
-decode_quarantine(const std::string& part, const std::string& record, time_point now,
-                  std::chrono::system_clock::time_point unix_now)
+decode_quarantine(const std::string& part, const std::string& record, std::uint64_t epoch,
+                  time_point now, std::chrono::system_clock::time_point unix_now)
 {
     wire::stored_quarantine message;
     if (!message.ParseFromString(record)) {
@@ -103,7 +107,7 @@
     const auto past = std::max<std::int64_t>(unix_ms - message.since_unix_ms(), 0);
     const auto left = message.until_unix_ms() - unix_ms;
     return policy::quarantined_part{part, now - from_ms(static_cast<std::uint64_t>(past)),
-                                    now + from_ms(static_cast<std::uint64_t>(left)), true,
+                                    now + from_ms(static_cast<std::uint64_t>(left)), epoch,
                                     message.is_tested()};
 }
 
--- a/Source/gateway/quarantine_codec.h
+++ b/Source/gateway/quarantine_codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -26,11 +27,12 @@
 
 /// @param part name of the part
 /// @param record the stored bytes
+/// @param epoch of the store that holds them
 /// @param now the current time
 /// @param unix_now the same by the time of day
 /// @return the quarantine; empty if it has passed or the bytes cannot be read
 std::optional<policy::quarantined_part>
-decode_quarantine(const std::string& part, const std::string& record, time_point now,
-                  std::chrono::system_clock::time_point unix_now);
+decode_quarantine(const std::string& part, const std::string& record, std::uint64_t epoch,
+                  time_point now, std::chrono::system_clock::time_point unix_now);
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/quarantine_store.cxx
+++ b/Source/gateway/quarantine_store.cxx
@@ -37,8 +37,8 @@
         }
         const auto now = self->clock_.now();
         for (const auto& record : page->records) {
-            const auto part =
-                decode_quarantine(record.key, record.value, now, std::chrono::system_clock::now());
+            const auto part = decode_quarantine(record.key, record.value, page->epoch, now,
+                                                std::chrono::system_clock::now());
             if (part) {
                 self->guard_.adopt(*part);
             }
@@ -53,13 +53,26 @@
 void quarantine_store::save(const std::vector<policy::quarantined_part>& parts)
 {
     for (const auto& it : parts) {
-        if (!it.is_stored) {
+        if (!this->is_stored(it)) {
             const auto peers = static_cast<int>(this->lower_peers_());
             this->save_after(std::min<duration>(peers * delay_per_peer, max_delay), it.part);
         }
     }
 }
 
+void quarantine_store::on_store_epoch(std::uint64_t epoch)
+{
+    if (epoch > this->store_epoch_) {
+        this->store_epoch_ = epoch;
+        this->save(this->guard_.quarantined());
+    }
+}
+
+bool quarantine_store::is_stored(const policy::quarantined_part& part) const
+{
+    return part.stored_epoch && *part.stored_epoch >= this->store_epoch_;
+}
+
 void quarantine_store::save_after(duration delay, const std::string& part)
 {
     this->context_.after(delay, [self = this->shared_from_this(), part] { self->save_now(part); });
@@ -69,7 +82,7 @@
 {
     const auto parts = this->guard_.quarantined();
     const auto found = std::ranges::find(parts, part, &policy::quarantined_part::part);
-    if (found == parts.end() || found->is_stored) {
+    if (found == parts.end() || this->is_stored(*found)) {
         return;
     }
     const auto record =
@@ -78,8 +91,13 @@
         this->topic_, part, record,
         [self = this->shared_from_this(), part](std::optional<policy::log_position> position) {
             if (position) {
-                self->guard_.on_stored(part);
-                self->log_.note(log_level::info, "quarantine stored", {{"prompt_part", part}});
+                self->guard_.on_stored(part, position->epoch);
+                self->log_.note(log_level::info, "quarantine stored",
+                                {{"prompt_part", part},
+                                 {"store_epoch", static_cast<std::int64_t>(position->epoch)}});
+                if (position->epoch < self->store_epoch_) {
+                    self->save_after(retry_delay, part); // acknowledged before the restore
+                }
                 return;
             }
             self->save_after(retry_delay, part);
--- a/Source/gateway/quarantine_store.h
+++ b/Source/gateway/quarantine_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -37,7 +38,14 @@
     /// Writes the parts that no gateway has written yet.
     void save(const std::vector<policy::quarantined_part>& parts);
 
+    /// Writes all parts again if the epoch is a later one, as a restore may have lost their
+    /// records.
+    void on_store_epoch(std::uint64_t epoch);
+
 private:
+    /// @return whether a gateway has written the part since the store was last restored
+    [[nodiscard]] bool is_stored(const policy::quarantined_part& part) const;
+
     void save_after(duration delay, const std::string& part);
     void save_now(const std::string& part);
 
@@ -47,6 +55,7 @@
     std::string topic_;
     prompt_guard& guard_;
     std::function<std::size_t()> lower_peers_;
+    std::uint64_t store_epoch_ = 0;
     event_log log_{"crash"};
 };
 
--- a/Source/policy/prompt_quarantine.cxx
+++ b/Source/policy/prompt_quarantine.cxx
@@ -250,7 +250,7 @@
         return false;
     }
     it.is_tested = true;
-    it.is_stored = false; // written again, so that a restart does not repeat the test
+    it.stored_epoch.reset(); // written again, so that a restart does not repeat the test
     this->report_again(now);
     return true;
 }
@@ -292,7 +292,7 @@
     for (const auto& it : this->quarantined(now)) {
         if (report.quarantined.size() < max_reported_quarantines) {
             report.quarantined.push_back(
-                {it.part, now - it.since, it.until - now, it.is_stored, it.is_tested});
+                {it.part, now - it.since, it.until - now, it.stored_epoch, it.is_tested});
         }
     }
     for (const auto& part : named) {
@@ -319,7 +319,7 @@
     }
     std::vector<quarantined_part> adopted;
     for (const auto& it : report.quarantined) {
-        const quarantined_part part{it.part, now - it.since, now + it.left, it.is_stored,
+        const quarantined_part part{it.part, now - it.since, now + it.left, it.stored_epoch,
                                     it.is_tested};
         if (this->adopt(part, now)) {
             adopted.push_back(part);
@@ -352,16 +352,16 @@
         this->report_again(now);
         return true;
     }
-    known.is_stored = known.is_stored || part.is_stored;
+    known.stored_epoch = std::max(known.stored_epoch, part.stored_epoch);
     known.is_tested = known.is_tested || part.is_tested;
     return false;
 }
 
-void prompt_quarantine::on_stored(const std::string& part, time_point now)
+void prompt_quarantine::on_stored(const std::string& part, std::uint64_t epoch, time_point now)
 {
     const auto found = this->quarantined_.find(part);
     if (found != this->quarantined_.end()) {
-        found->second.is_stored = true;
+        found->second.stored_epoch = epoch;
         this->report_again(now);
     }
 }
--- a/Source/policy/prompt_quarantine.h
+++ b/Source/policy/prompt_quarantine.h
@@ -53,7 +53,8 @@
     std::string part;
     time_point since{};
     time_point until{};
-    bool is_stored = false; ///< a gateway has written it to the store
+    /// Latest epoch of the store in which a gateway has written it; empty if none has.
+    std::optional<std::uint64_t> stored_epoch = std::nullopt;
     bool is_tested = false; ///< a request was let through to test the quarantine
 };
 
@@ -77,7 +78,7 @@
         std::string part;
         duration since{};
         duration left{};
-        bool is_stored = false;
+        std::optional<std::uint64_t> stored_epoch;
         bool is_tested = false;
     };
 
@@ -160,7 +161,7 @@
     bool adopt(const quarantined_part& part, time_point now);
 
     /// Notes that a quarantine was written to the store.
-    void on_stored(const std::string& part, time_point now);
+    void on_stored(const std::string& part, std::uint64_t epoch, time_point now);
 
     /// @return the parts whose quarantine an answer has ended since the last call
     [[nodiscard]] std::vector<std::string> take_lifted()
--- a/Tests/fakes/fake_keyed_log.h
+++ b/Tests/fakes/fake_keyed_log.h
@@ -1,16 +1,21 @@
 #pragma once
 
 #include <condition_variable>
+#include <cstdint>
 #include <deque>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "gateway/keyed_log.h"
 
 namespace medlaryoke::fakes {
 
-/// Keyed log whose `list` and `read` calls wait until the test answers them. `put` fails at once.
+/// Keyed log whose `list` and `read` calls wait until the test answers them. `put` fails at once
+/// unless the test accepts it.
 class fake_keyed_log final : public gateway::keyed_log {
 public:
     /// A call that has not been answered.
@@ -33,10 +38,32 @@
         this->add({"read", from, wait, std::move(done)});
     }
 
-    void put(const std::string& /*topic*/, const std::string& /*key*/, const std::string& /*value*/,
+    void put(const std::string& /*topic*/, const std::string& key, const std::string& /*value*/,
              std::function<void(std::optional<policy::log_position>)> done) override
     {
-        done(std::nullopt);
+        std::optional<policy::log_position> position;
+        {
+            const std::scoped_lock lock(this->mutex_);
+            if (this->epoch_ != 0) {
+                position = policy::log_position{this->epoch_, this->accepted_.size()};
+                this->accepted_.push_back(key);
+            }
+        }
+        done(position);
+    }
+
+    /// @param epoch in which `put` is acknowledged from now on
+    void accept_puts(std::uint64_t epoch)
+    {
+        const std::scoped_lock lock(this->mutex_);
+        this->epoch_ = epoch;
+    }
+
+    /// @return the keys of the acknowledged records
+    [[nodiscard]] std::vector<std::string> accepted() const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->accepted_;
     }
 
     /// Waits for the next call and removes it from the queue.
@@ -58,9 +85,11 @@
         this->added_.notify_all();
     }
 
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::condition_variable added_;
     std::deque<call> calls_;
+    std::uint64_t epoch_ = 0;
+    std::vector<std::string> accepted_;
 };
 
 } // namespace medlaryoke::fakes
