--- a/Tests/Soak/gateway_faults.cxx
+++ b/Tests/Soak/gateway_faults.cxx
@@ -22,8 +22,9 @@
 } // namespace
 
 gateway_faults::gateway_faults(unsigned seed, unsigned count, soak_store& store,
-                               const std::string& directory)
-    : random_(seed), store_(store), resume_at_(count)
+                               const std::string& directory, bool restores_store)
+    : random_(seed), restore_random_(seed), restores_store_(restores_store), store_(store),
+      resume_at_(count)
 {
     for (unsigned n = 0; n < count; ++n) {
         this->gateways_.push_back(
@@ -42,6 +43,10 @@
 
 std::chrono::milliseconds gateway_faults::inject()
 {
+    constexpr unsigned faults_per_restore = 3;
+    if (this->restores_store_ && this->restore_random_() % faults_per_restore == 0) {
+        this->restore_store();
+    }
     constexpr unsigned fault_kinds = 5;
     const auto gateway = static_cast<unsigned>(this->random_() % this->gateways_.size());
     auto& target = *this->gateways_[gateway];
@@ -72,6 +77,17 @@
     return std::chrono::milliseconds(200 + this->random_() % 1500);
 }
 
+void gateway_faults::restore_store()
+{
+    const auto options = soak_store::random_restore(this->restore_random_);
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(timer::now() - options.copied_at);
+    this->disrupt(0, true, options.outage + options.rewrite_after,
+                  fmt::format("the store comes back after {} ms from a copy {} ms old",
+                              options.outage.count(), age.count()));
+    this->store_.restore(options);
+}
+
 void gateway_faults::disrupt(unsigned gateway, bool is_of_all, std::chrono::milliseconds length,
                              const std::string& what)
 {
--- a/Tests/Soak/gateway_faults.h
+++ b/Tests/Soak/gateway_faults.h
@@ -27,7 +27,9 @@
     /// @param count number of gateways
     /// @param store that the gateways use
     /// @param directory where their settings and logs are written
-    gateway_faults(unsigned seed, unsigned count, soak_store& store, const std::string& directory);
+    /// @param restores_store whether the store is also restored from older copies
+    gateway_faults(unsigned seed, unsigned count, soak_store& store, const std::string& directory,
+                   bool restores_store);
 
     /// Injects a fault of a random kind.
     /// @return random pause before the next fault
@@ -62,7 +64,11 @@
     void disrupt(unsigned gateway, bool is_of_all, std::chrono::milliseconds length,
                  const std::string& what);
 
+    void restore_store();
+
     std::mt19937 random_;
+    std::mt19937 restore_random_; ///< apart, so that a seed's other faults stay the same
+    bool restores_store_ = false;
     soak_store& store_;
     std::vector<std::unique_ptr<gateway_child>> gateways_;
     std::vector<timer::time_point> resume_at_; ///< by gateway: when its suspension ends
--- a/Tests/Soak/limit_soak_main.cxx
+++ b/Tests/Soak/limit_soak_main.cxx
@@ -27,8 +27,9 @@
     return soak::print_report(
         {fmt::format("seed {}: {}", options.seed, test.totals()), test.violations(), test.faults(),
          directory,
-         fmt::format("test_limit_soak --seeds {} --gateways {} --upstreams {} --seconds {}",
-                     options.seed, options.gateways, options.upstreams, options.length.count())});
+         fmt::format("test_limit_soak --seeds {} --gateways {} --upstreams {} --seconds {}{}",
+                     options.seed, options.gateways, options.upstreams, options.length.count(),
+                     options.restores_store ? " --restores" : "")});
 }
 
 } // namespace
@@ -42,6 +43,7 @@
     app.add_option("--seeds", seeds, "seeds of the faults and the requests")->required();
     app.add_option("--gateways", options.gateways, "gateway processes");
     app.add_option("--upstreams", options.upstreams, "upstreams");
+    app.add_flag("--restores", options.restores_store, "restore the store from older copies, too");
     app.add_option("--seconds", seconds, "length of each seed; at least 10");
     CLI11_PARSE(app, argc, argv);
     options.length = std::chrono::seconds(seconds);
--- a/Tests/Soak/limit_soak_run.cxx
+++ b/Tests/Soak/limit_soak_run.cxx
@@ -68,8 +68,8 @@
     this->store_.put_configuration(1, {{"safe", "safe", 2, false},
                                        {"unsafe", "unsafe", 1, false},
                                        {"stream", "streaming", 2, true}});
-    this->gateways_ =
-        std::make_unique<gateway_faults>(options.seed, options.gateways, this->store_, directory);
+    this->gateways_ = std::make_unique<gateway_faults>(options.seed, options.gateways, this->store_,
+                                                       directory, options.restores_store);
     this->started_ = timer::now();
     this->limits_ended_ = this->started_ + options.length - calm_time;
 }
--- a/Tests/Soak/limit_soak_run.h
+++ b/Tests/Soak/limit_soak_run.h
@@ -20,6 +20,7 @@
     unsigned seed = 1;
     unsigned gateways = 4;
     unsigned upstreams = 8;
+    bool restores_store = false; ///< whether the store is restored from older copies
     std::chrono::seconds length{16};
 };
 
--- a/Tests/Soak/prompt_soak_main.cxx
+++ b/Tests/Soak/prompt_soak_main.cxx
@@ -26,9 +26,10 @@
     return soak::print_report(
         {fmt::format("seed {}: {}", options.seed, test.totals()), test.violations(), test.faults(),
          directory,
-         fmt::format("test_prompt_soak --seeds {} --gateways {} --parts {} --share {} --seconds {}",
-                     options.seed, options.gateways, options.crashing_parts, options.crashing_share,
-                     options.length.count())});
+         fmt::format(
+             "test_prompt_soak --seeds {} --gateways {} --parts {} --share {} --seconds {}{}",
+             options.seed, options.gateways, options.crashing_parts, options.crashing_share,
+             options.length.count(), options.restores_store ? " --restores" : "")});
 }
 
 } // namespace
@@ -43,6 +44,7 @@
     app.add_option("--gateways", options.gateways, "gateway processes");
     app.add_option("--parts", options.crashing_parts, "parts that end engines");
     app.add_option("--share", options.crashing_share, "one of as many requests ends an engine");
+    app.add_flag("--restores", options.restores_store, "restore the store from older copies, too");
     app.add_option("--seconds", seconds, "length of each seed; at least 10");
     CLI11_PARSE(app, argc, argv);
     options.length = std::chrono::seconds(seconds);
--- a/Tests/Soak/prompt_soak_run.cxx
+++ b/Tests/Soak/prompt_soak_run.cxx
@@ -51,8 +51,8 @@
     const unsigned engine_count = 8 + 4 * options.crashing_parts;
     this->engines_ = std::make_unique<crashing_engines>(this->store_, engine_count, this->parts_);
     this->store_.put_configuration(1, {{"stream", "streaming", 2, true}});
-    this->gateways_ =
-        std::make_unique<gateway_faults>(options.seed, options.gateways, this->store_, directory);
+    this->gateways_ = std::make_unique<gateway_faults>(options.seed, options.gateways, this->store_,
+                                                       directory, options.restores_store);
     this->started_ = timer::now();
 }
 
--- a/Tests/Soak/prompt_soak_run.h
+++ b/Tests/Soak/prompt_soak_run.h
@@ -21,6 +21,7 @@
     unsigned gateways = 4;
     unsigned crashing_parts = 2;
     unsigned crashing_share = 15; ///< one of as many requests holds a crashing part
+    bool restores_store = false;  ///< whether the store is restored from older copies
     std::chrono::seconds length{12};
 };
 
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -33,9 +33,9 @@
 
 } // namespace
 
-soak_run::soak_run(unsigned seed, const std::string& directory)
-    : random_(seed), store_(runtime_), terminated_at_(gateway_count), resumed_at_(gateway_count),
-      started_(timer::now())
+soak_run::soak_run(unsigned seed, const std::string& directory, bool restores_store)
+    : random_(seed), restore_random_(seed), restores_store_(restores_store), store_(runtime_),
+      terminated_at_(gateway_count), resumed_at_(gateway_count), started_(timer::now())
 {
     this->runtime_.start();
     for (unsigned n = 0; n < upstream_count; ++n) {
@@ -104,6 +104,10 @@
 
 void soak_run::inject_fault()
 {
+    constexpr unsigned faults_per_restore = 6;
+    if (this->restores_store_ && this->restore_random_() % faults_per_restore == 0) {
+        this->restore_store();
+    }
     constexpr unsigned gateway_kinds = 5;
     constexpr unsigned upstream_kinds = 8;
     constexpr unsigned store_kinds = 3;
@@ -126,6 +130,15 @@
     }
 }
 
+void soak_run::restore_store()
+{
+    // The change is acknowledged and lost.
+    this->update_configuration();
+    const auto options = soak_store::random_restore(this->restore_random_);
+    this->record_fault(fmt::format("store restored after {} ms", options.outage.count()));
+    this->store_.restore(options);
+}
+
 void soak_run::inject_gateway_fault(unsigned kind)
 {
     const auto index = this->random_below(gateway_count);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -21,7 +21,8 @@
 public:
     /// @param seed seed of the fault schedule
     /// @param directory where the settings and logs are written
-    soak_run(unsigned seed, const std::string& directory);
+    /// @param restores_store whether the store is also restored from older copies
+    soak_run(unsigned seed, const std::string& directory, bool restores_store);
 
     /// Injects faults, then ends them all and checks that the gateways recover.
     /// @param fault_duration time during which new faults start
@@ -43,6 +44,7 @@
 
     void update_configuration();
     void inject_fault();
+    void restore_store();
     void inject_gateway_fault(unsigned kind);
     void inject_upstream_fault(unsigned kind);
     void record_fault(const std::string& what);
@@ -53,6 +55,8 @@
     unsigned random_below(unsigned count) { return static_cast<unsigned>(this->random_() % count); }
 
     std::mt19937 random_;
+    std::mt19937 restore_random_; ///< apart, so that a seed's other faults stay the same
+    bool restores_store_ = false;
     transport::runtime runtime_{1};
     soak_store store_;
     execution_counter executions_;
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <iterator>
 
 #include <nlohmann/json.hpp>
 
@@ -52,6 +51,7 @@
     auto& log = this->topics_[topic];
     log.records.push_back({key, value, std::chrono::steady_clock::now()});
     index(log, log.records.size() - 1);
+    this->lost_.erase({topic, key});
     return log.records.size() - 1;
 }
 
@@ -76,17 +76,22 @@
     return log->second.records[log->second.newest.at(key)].value;
 }
 
+soak_store::restore_options soak_store::random_restore(std::mt19937& random)
+{
+    const auto between = [&random](int low_ms, int high_ms) {
+        return std::chrono::milliseconds(
+            std::uniform_int_distribution<int>(low_ms, high_ms)(random));
+    };
+    return {std::chrono::steady_clock::now() - between(500, 8000), between(200, 2000),
+            between(100, 1800), between(2200, 3600)};
+}
+
 void soak_store::restore(const restore_options& options)
 {
     const std::scoped_lock lock(this->mutex_);
     ++this->epoch_;
-    this->restored_at_ = std::chrono::steady_clock::now();
     this->state_ = store_state::refuses;
-    const auto lost = this->drop_records_since(options.copied_at);
-    std::vector<lost_value> values;
-    std::vector<lost_value> removals;
-    std::ranges::partition_copy(lost, std::back_inserter(values), std::back_inserter(removals),
-                                [](const lost_value& it) { return !it.value.empty(); });
+    this->drop_records_since(options.copied_at);
     const auto epoch = this->epoch_.load();
     this->runtime_.after(options.outage, [this, epoch] {
         const std::scoped_lock inner(this->mutex_);
@@ -95,25 +100,20 @@
         }
     });
     this->runtime_.after(options.outage + options.rewrite_after,
-                         [this, values, epoch] { this->write_again(values, epoch); });
+                         [this, epoch] { this->write_again(false, epoch); });
     this->runtime_.after(options.outage + options.expire_after,
-                         [this, removals, epoch] { this->write_again(removals, epoch); });
+                         [this, epoch] { this->write_again(true, epoch); });
 }
 
-std::vector<soak_store::lost_value> soak_store::drop_records_since(time_point since)
+void soak_store::drop_records_since(time_point since)
 {
-    std::vector<lost_value> lost;
     for (auto& [topic, log] : this->topics_) {
         const auto first = std::ranges::find_if(
             log.records, [since](const auto& it) { return it.written_at > since; });
         // Gateways write topics of their own again by themselves.
         const bool is_written_again = topic == "keyed.op" || topic == "keyed.servers";
-        std::map<std::string, std::string> newest;
         for (auto it = first; is_written_again && it != log.records.end(); ++it) {
-            newest[it->key] = it->value;
-        }
-        for (const auto& [key, value] : newest) {
-            lost.push_back({topic, key, value});
+            this->lost_[{topic, it->key}] = it->value;
         }
         log.records.erase(first, log.records.end());
         log.newest.clear();
@@ -121,19 +121,18 @@
             index(log, n);
         }
     }
-    return lost;
 }
 
-void soak_store::write_again(const std::vector<lost_value>& lost, std::uint64_t epoch)
+void soak_store::write_again(bool removals, std::uint64_t epoch)
 {
     const std::scoped_lock lock(this->mutex_);
-    for (const auto& it : lost) {
-        const auto& log = this->topics_[it.topic];
-        const auto found = log.newest.find(it.key);
-        const bool is_newer =
-            found != log.newest.end() && log.records[found->second].written_at > this->restored_at_;
-        if (epoch == this->epoch_ && !is_newer) {
-            this->append_record(it.topic, it.key, it.value);
+    if (epoch != this->epoch_) {
+        return; // the next restore writes them again
+    }
+    const auto lost = this->lost_;
+    for (const auto& [key, value] : lost) {
+        if (value.empty() == removals) {
+            this->append_record(key.first, key.second, value);
         }
     }
 }
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -75,6 +76,10 @@
         std::chrono::milliseconds expire_after{};  ///< from the end of the outage
     };
 
+    /// @param random source of the random numbers
+    /// @return a restore from a copy that is 0.5 to 8 s old
+    static restore_options random_restore(std::mt19937& random);
+
     /// Restores the store: topics lose their newest records, their offsets are given out again, and
     /// the epoch rises. The operator and the upstreams write what they wrote again after a time;
     /// entries of upstreams that were removed expire again.
@@ -93,20 +98,14 @@
         std::vector<record> records;
         std::map<std::string, std::size_t> newest; ///< offset of the newest record of each key
     };
-    /// A value that was lost in a restore, or the removal of its key.
-    struct lost_value {
-        std::string topic;
-        std::string key;
-        std::string value; ///< empty if the key was removed
-    };
     using response = std::shared_ptr<transport::response_stream>;
 
     std::uint64_t append_record(const std::string& topic, const std::string& key,
                                 const std::string& value);
     static void index(topic_log& log, std::size_t offset);
-    std::vector<lost_value> drop_records_since(time_point since);
-    /// Writes lost values whose keys were not written since the restore.
-    void write_again(const std::vector<lost_value>& lost, std::uint64_t epoch);
+    void drop_records_since(time_point since);
+    /// Writes lost values, or lost removals, unless the store was restored again.
+    void write_again(bool removals, std::uint64_t epoch);
     void respond(const response& reply, unsigned status, const std::string& body) const;
     void handle(const transport::http_request& request, const response& reply);
     void append(const transport::http_request& request, const std::string& topic,
@@ -119,7 +118,8 @@
     mutable std::mutex mutex_;
     std::map<std::string, topic_log> topics_;
     std::atomic<std::uint64_t> epoch_ = 1;
-    time_point restored_at_{};
+    /// Values by topic and key, empty for removals, that were lost and not written again yet.
+    std::map<std::pair<std::string, std::string>, std::string> lost_;
     store_state state_ = store_state::works;
     transport::http_server server_;
 };
