controllers, transport: Keep leases and fences of the own log through a restore

The product's own log may be restored from an older copy as well. A lease controller read on from an offset of the lost history: no lease could be acquired any more, or one whose holder had not noticed was acquired by another, with a fence that had been given out before.

Results of the log state its epoch (header Log-Epoch; 0 if it is missing). When it changes, the controller forgets what it has read, reads from the start, and acquires or renews nothing for the time to live and its margin, within which a lease of the lost history ends at its holder. Fences hold the epoch above the offset. The exemption of a lease that the copy shows as the own one was ruled out: the lost records may have passed it on.

The fakes and the stand-in of the platform restore their log (PUT /control/restore) and answer 410 past its end.

--- a/Source/controllers/lease_controller.cxx
+++ b/Source/controllers/lease_controller.cxx
@@ -6,6 +6,7 @@
 
 #include "base/identifiers.h"
 #include "base/logging.h"
+#include "policy/log_position.h"
 
 namespace medlaryoke::controllers {
 
@@ -60,7 +61,7 @@
     if (!this->is_own_lease(state) || this->clock_.now() >= this->valid_until_) {
         return std::nullopt;
     }
-    return state.fence;
+    return this->to_fence(state);
 }
 
 duration lease_controller::time_left() const
@@ -72,7 +73,14 @@
 policy::lease_state lease_controller::state() const
 {
     const std::scoped_lock lock(this->mutex_);
-    return this->ledger_.find(this->options_.name);
+    auto state = this->ledger_.find(this->options_.name);
+    state.fence = this->to_fence(state);
+    return state;
+}
+
+std::uint64_t lease_controller::to_fence(const policy::lease_state& state) const
+{
+    return state.offset == 0 ? 0 : policy::fencing_token({this->epoch_, state.fence - 1});
 }
 
 void lease_controller::read()
@@ -97,13 +105,21 @@
     duration next_read_delay = retry_delay;
     if (const auto* found = std::get_if<transport::read_records>(&result)) {
         const std::scoped_lock lock(this->mutex_);
-        std::ranges::for_each(found->records, [this](const auto& it) { this->apply_record(it); });
-        this->caught_up_ = this->next_offset_ >= found->next;
-        next_read_delay =
-            found->records.empty() ? this->options_.time_to_live / reads_per_lease : 0ns;
+        if (found->epoch != this->epoch_) {
+            this->set_epoch(found->epoch); // the offset of the read belongs to a lost history
+            next_read_delay = 0ns;
+        }
+        else {
+            std::ranges::for_each(found->records,
+                                  [this](const auto& it) { this->apply_record(it); });
+            this->caught_up_ = this->next_offset_ >= found->next;
+            next_read_delay =
+                found->records.empty() ? this->options_.time_to_live / reads_per_lease : 0ns;
+        }
     }
     else if (const auto* expired = std::get_if<transport::read_expired>(&result)) {
         const std::scoped_lock lock(this->mutex_);
+        this->set_epoch(expired->epoch);
         this->next_offset_ = std::max(this->next_offset_, expired->earliest);
         next_read_delay = 0ns;
     }
@@ -111,6 +127,24 @@
     this->after_(next_read_delay, [self = this->shared_from_this()] { self->read(); });
 }
 
+void lease_controller::set_epoch(std::uint64_t epoch)
+{
+    if (epoch == this->epoch_) {
+        return;
+    }
+    log_output().warning("The log was restored (epoch {} after {}); reading all leases again.",
+                         epoch, this->epoch_);
+    this->epoch_ = epoch;
+    this->ledger_ = {};
+    this->sent_at_by_operation_.clear();
+    this->next_offset_ = 1;
+    this->caught_up_ = false;
+    this->valid_until_ = {};
+    const auto time_to_live = this->options_.time_to_live;
+    this->acquire_not_before_ =
+        this->clock_.now() + time_to_live + policy::lease_margin(time_to_live);
+}
+
 void lease_controller::apply_record(const transport::stored_record& record)
 {
     this->next_offset_ = std::max(this->next_offset_, record.offset + 1);
@@ -139,7 +173,8 @@
         const auto is_own = this->is_own_lease(this->ledger_.find(this->options_.name));
         const bool is_due =
             is_own ? now >= this->renew_at_ : this->ledger_.is_available(this->options_.name, now);
-        if (this->stopped_ || !this->caught_up_ || !is_due || now < this->next_append_at_) {
+        if (this->stopped_ || !this->caught_up_ || !is_due || now < this->next_append_at_ ||
+            now < this->acquire_not_before_) {
             return;
         }
         this->next_append_at_ = now + this->options_.time_to_live / renewals_per_lease / 2;
--- a/Source/controllers/lease_controller.h
+++ b/Source/controllers/lease_controller.h
@@ -24,7 +24,9 @@
 
 /// Acquires one lease in the `leases` stream of the platform's log, and renews it. The holder
 /// counts the time to live from before it sent the record, the other instances from when they read
-/// the record, plus a margin, so that the lease expires at its holder first. Thread safe.
+/// the record, plus a margin, so that the lease expires at its holder first. After a restore of the
+/// log, a lease whose records were lost may still be held: it is acquired only after that time.
+/// Fences hold the epoch of the log, so that they rise over restores. Thread safe.
 class lease_controller : public std::enable_shared_from_this<lease_controller> {
 public:
     /// @param clock source of the monotonic time
@@ -56,6 +58,10 @@
     void read();
     void on_read(const transport::read_result& result);
     void apply_record(const transport::stored_record& record);
+    /// Forgets what was read if the log was restored.
+    /// @param epoch of the log, as stated in the result of a read
+    void set_epoch(std::uint64_t epoch);
+    [[nodiscard]] std::uint64_t to_fence(const policy::lease_state& state) const;
     void acquire_or_renew();
     void append(bool released);
     [[nodiscard]] bool is_own_lease(const policy::lease_state& state) const;
@@ -69,7 +75,9 @@
     policy::lease_ledger ledger_;
     /// Times just before own records were sent, by operation id.
     std::unordered_map<std::uint64_t, time_point> sent_at_by_operation_;
+    std::uint64_t epoch_ = 0;       ///< of the log
     std::uint64_t next_offset_ = 1; ///< offset of the next record to read
+    time_point acquire_not_before_{};
     time_point valid_until_{};
     time_point renew_at_{};
     time_point next_append_at_{};
--- a/Source/transport/log_client.cxx
+++ b/Source/transport/log_client.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <optional>
 #include <utility>
 
@@ -25,6 +26,9 @@
 constexpr unsigned status_gone = 410;
 constexpr unsigned first_error_status = 400;
 
+/// Header of all answers with the epoch of the log; missing if the log was never restored.
+constexpr auto epoch_header = "Log-Epoch";
+
 /// @param request_timeout bounds each phase of the exchange
 /// @param wait how long the service may wait for a record before it replies
 http_timeouts make_timeouts(duration request_timeout, duration wait)
@@ -46,6 +50,15 @@
     return it->get<std::uint64_t>();
 }
 
+/// @return epoch of the log that an answer states; 0 if it states none
+std::uint64_t epoch_of(const http_response& response)
+{
+    const auto text = find_header(response.head.headers, epoch_header);
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
 append_result to_append_result(const fetch_result& result)
 {
     if (const auto* failure = std::get_if<http_failure>(&result)) {
@@ -66,14 +79,14 @@
     const auto body = json::parse(response.body, nullptr, false);
     if (body.is_object()) {
         if (const auto offset = get_unsigned(body, "offset")) {
-            return append_done{*offset};
+            return append_done{*offset, epoch_of(response)};
         }
     }
     return append_ambiguous{"log service replied without an offset"};
 }
 
 /// @return the records, empty if the reply is malformed or its offsets are out of order
-std::optional<read_result> parse_records(const json& body, std::uint64_t from)
+std::optional<read_result> parse_records(const json& body, std::uint64_t from, std::uint64_t epoch)
 {
     const auto earliest = get_unsigned(body, "earliest");
     const auto next = get_unsigned(body, "next");
@@ -81,7 +94,7 @@
     if (!earliest || !next || records == body.end() || !records->is_array()) {
         return std::nullopt;
     }
-    read_records result{*earliest, *next, {}};
+    read_records result{*earliest, *next, {}, epoch};
     result.records.reserve(records->size());
     for (const auto& item : *records) {
         const auto offset = item.is_object() ? get_unsigned(item, "offset") : std::nullopt;
@@ -108,10 +121,10 @@
     if (body.is_object()) {
         const auto earliest = get_unsigned(body, "earliest");
         if (response.head.status == status_gone && earliest) {
-            return read_expired{*earliest};
+            return read_expired{*earliest, epoch_of(response)};
         }
         if (response.head.status == status_ok) {
-            if (auto records = parse_records(body, from)) {
+            if (auto records = parse_records(body, from, epoch_of(response))) {
                 return std::move(*records);
             }
         }
--- a/Source/transport/log_service.h
+++ b/Source/transport/log_service.h
@@ -14,6 +14,7 @@
 /// The record was stored at an offset.
 struct append_done {
     std::uint64_t offset = 0;
+    std::uint64_t epoch = 0; ///< as in read_records
 };
 
 /// The record was not stored, and this append will not store it later.
@@ -38,11 +39,15 @@
     std::uint64_t earliest = 0; ///< lowest offset that is retained
     std::uint64_t next = 0;     ///< offset that the next appended record will have
     std::vector<stored_record> records;
+    /// Rises each time the log is restored from an older copy, which loses its newest records and
+    /// gives out their offsets again.
+    std::uint64_t epoch = 0;
 };
 
-/// The requested offset is no longer retained.
+/// The log does not have the requested offset: its retention has ended, or the log was restored.
 struct read_expired {
     std::uint64_t earliest = 0; ///< lowest offset that is retained
+    std::uint64_t epoch = 0;    ///< as in read_records
 };
 
 /// The log could not be read.
@@ -52,7 +57,8 @@
 
 using read_result = std::variant<read_records, read_expired, read_unavailable>;
 
-/// The platform's append-only log. Offsets start at 1 in each stream and increase by 1.
+/// The platform's append-only log. Offsets start at 1 in each stream and increase by 1 within an
+/// epoch of the log.
 class log_service {
 public:
     log_service() = default;
--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -237,7 +237,35 @@
             reply.abort();
             return;
         }
-        respond_json(reply, status_ok, {{"offset", offset}});
+        this->respond_log(reply, status_ok, {{"offset", offset}});
+    }
+
+    /// Answers a call to the log; the answer states the log's epoch.
+    void respond_log(transport::response_stream& reply, unsigned status, const json& body) const
+    {
+        reply.respond({{status,
+                        {{"Content-Type", "application/json"},
+                         {"Log-Epoch", std::to_string(this->log_epoch_)}}},
+                       body.dump()});
+    }
+
+    /// Restores the log from a copy: younger records are lost, and their offsets are given out
+    /// again. Waiting reads are cut off.
+    void restore_log(duration age)
+    {
+        const std::scoped_lock lock(this->mutex_);
+        const auto copied_at = std::chrono::steady_clock::now() - age;
+        for (auto& [name, stream] : this->streams_) {
+            std::erase_if(stream.records,
+                          [&](const stored_record& it) { return it.append_time > copied_at; });
+        }
+        for (auto& it : this->pending_reads_) {
+            it.timer.cancel();
+            it.reply->abort();
+        }
+        this->pending_reads_by_id_.clear();
+        this->pending_reads_.clear();
+        ++this->log_epoch_;
     }
 
     void read(const std::string& name, const parsed_target& target, const stream_ptr& reply)
@@ -251,10 +279,13 @@
         const auto limit = query_number(target, "limit", default_read_limit);
         const auto max_wait = std::chrono::milliseconds(query_number(target, "wait_ms", 0));
         if (from_offset < source.earliest_offset) {
-            respond_json(*reply, status_gone, {{"earliest", source.earliest_offset}});
+            this->respond_log(*reply, status_gone, {{"earliest", source.earliest_offset}});
+        }
+        else if (from_offset > source.next_offset()) {
+            this->respond_log(*reply, status_gone, {{"earliest", source.earliest_offset}});
         }
         else if (from_offset < source.next_offset() || max_wait.count() == 0) {
-            respond_json(*reply, status_ok, make_records(source, from_offset, limit));
+            this->respond_log(*reply, status_ok, make_records(source, from_offset, limit));
         }
         else {
             this->wait_for_record(name, from_offset, limit, max_wait, reply);
@@ -290,8 +321,9 @@
             respond_outage(*read.reply);
         }
         else {
-            respond_json(*read.reply, status_ok,
-                         make_records(this->streams_[read.stream], read.from_offset, read.limit));
+            this->respond_log(
+                *read.reply, status_ok,
+                make_records(this->streams_[read.stream], read.from_offset, read.limit));
         }
         this->pending_reads_.erase(entry->second);
         return this->pending_reads_by_id_.erase(entry);
@@ -356,6 +388,10 @@
             this->instance_lists_.emplace_back(std::chrono::steady_clock::now(),
                                                body.at("instances"));
         }
+        else if (target.path == "/control/restore" && request.method == "PUT") {
+            this->restore_log(
+                std::chrono::milliseconds(parse_body(request).at("age_ms").get<std::uint64_t>()));
+        }
         else if (target.path == "/control/stats" && request.method == "GET") {
             const std::scoped_lock lock(this->mutex_);
             respond_json(
@@ -404,6 +440,7 @@
     faults faults_;
     rate_limiter append_rate_limiter_;
     std::map<std::string, log_stream> streams_;
+    std::uint64_t log_epoch_ = 0; ///< rises with each restore
     std::list<pending_read> pending_reads_;
     pending_read_map pending_reads_by_id_;
     std::uint64_t last_pending_read_id_ = 0;
--- a/Tests/StandIns/test_standins.cxx
+++ b/Tests/StandIns/test_standins.cxx
@@ -1,9 +1,11 @@
 #include <atomic>
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -16,6 +18,7 @@
 #include "StandIns/service_standin.h"
 #include "transport/error_response.h"
 #include "transport/http_pair.h"
+#include "transport/log_client.h"
 
 using namespace medlaryoke;
 using namespace medlaryoke::standins;
@@ -248,3 +251,32 @@
     cr_assert(platform.get("/control/stats") == json({{"appended", 1}, {"rejected", 1}}));
     cr_assert(platform.request("GET", "/weights/m/0/1").body.size() == options.weight_bytes);
 }
+
+// Guards against a restore of the stand-in log that keeps young records, does not give out their
+// offsets again, or is not stated to its readers.
+Test(platform_standin, restores_its_log_from_an_older_copy)
+{
+    standin_setup<platform_standin, platform_options> site;
+    log_client log(site.context, site.standin.address(), std::chrono::seconds(2));
+    const auto append = [&log](const std::string& data) {
+        std::promise<append_result> result;
+        log.append("s", data, [&result](auto it) { result.set_value(std::move(it)); });
+        return std::get<append_done>(result.get_future().get());
+    };
+    const auto read_from = [&log](std::uint64_t from) {
+        std::promise<read_result> result;
+        log.read("s", from, 10, {}, [&result](auto it) { result.set_value(std::move(it)); });
+        return result.get_future().get();
+    };
+    append("old");
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    cr_assert(append("young").offset == 2);
+    site.request("PUT", "/control/restore", {{"age_ms", 200}});
+    const auto beyond_end = read_from(3);
+    cr_assert(std::get<read_expired>(beyond_end).epoch == 1);
+    const auto again = append("new");
+    cr_assert(again.offset == 2 && again.epoch == 1);
+    const auto all = read_from(1);
+    const auto& found = std::get<read_records>(all);
+    cr_assert(found.epoch == 1 && found.records.size() == 2 && found.records[1].data == "new");
+}
--- a/Tests/controllers/test_lease_controller.cxx
+++ b/Tests/controllers/test_lease_controller.cxx
@@ -137,3 +137,52 @@
     it.run(2s);
     cr_assert(it.fence(1 - first) != 0);
 }
+
+// Guards against a fence that is not above those issued before the log was restored, against two
+// holders at that time, and against a lease that nobody can acquire any more.
+Test(lease_controller, fences_rise_over_a_restore_of_the_log)
+{
+    for (const std::size_t kept : {0, 1, 3}) {
+        lease_pair it;
+        it.run(2s);
+        it.log.mode = faulty_log::fault::outage;
+        it.run(10s);
+        it.log.mode = faulty_log::fault::none;
+        it.run(15s);
+        const auto fence = std::max(it.fence(0), it.fence(1));
+        cr_assert(fence > 0);
+        it.log.restore(kept);
+        it.run(15s);
+        cr_assert(it.holders() == 1, "no holder after a restore to %zu records", kept);
+        cr_assert(std::max(it.fence(0), it.fence(1)) > fence);
+        it.log.restore(kept);
+        it.run(15s);
+        cr_assert(it.holders() == 1, "no holder after a second restore");
+    }
+}
+
+// Guards against an instance that starts after a restore and acquires a lease whose holder has not
+// noticed the restore.
+Test(lease_controller, lost_lease_is_not_acquired_before_it_expires)
+{
+    lease_pair it;
+    it.instances[1]->stop();
+    it.run(3s);
+    cr_assert(it.fence(0) != 0);
+    it.log.restore(0);
+    const auto late = std::make_shared<lease_controller>(
+        it.executor.clock, it.log,
+        [&it](duration delay, std::function<void()> fn) {
+            it.executor.timers.emplace(it.executor.clock.now() + delay, std::move(fn));
+        },
+        lease_controller_options{
+            .name = "group/pearl", .holder = "c", .incarnation = 3, .time_to_live = 5s});
+    late->start();
+    const auto expired = it.executor.clock.now() + 5s;
+    while (it.executor.clock.now() < expired) {
+        it.run(50ms);
+        cr_assert(!late->fence().has_value());
+    }
+    it.run(15s);
+    cr_assert(late->fence().has_value() != (it.fence(0) != 0));
+}
--- a/Tests/fakes/fake_log.h
+++ b/Tests/fakes/fake_log.h
@@ -62,6 +62,14 @@
     /// Makes the records before an offset unreadable, as if their retention had ended.
     void expire_before(std::uint64_t offset) { this->earliest_ = offset; }
 
+    /// Restores the log from a copy: later records are lost and their offsets given out again.
+    /// @param count number of records that the copy holds
+    void restore(std::size_t count)
+    {
+        this->records_.resize(std::min(this->records_.size(), count));
+        ++this->epoch_;
+    }
+
     [[nodiscard]] const std::vector<std::string>& records() const { return this->records_; }
 
 private:
@@ -78,7 +86,7 @@
             this->append_outcomes.pop_back();
         }
         if (outcome == append_outcome::answered) {
-            done(transport::append_done{this->store(data)});
+            done(transport::append_done{this->store(data), this->epoch_});
             return;
         }
         if (outcome == append_outcome::stored_unanswered) {
@@ -99,8 +107,8 @@
             done(transport::read_unavailable{"outage"});
             return;
         }
-        if (from < this->earliest_) {
-            done(transport::read_expired{this->earliest_});
+        if (from < this->earliest_ || from > next) {
+            done(transport::read_expired{this->earliest_, this->epoch_});
             return;
         }
         if (from >= next && this->time_.clock.now() < deadline) {
@@ -109,7 +117,7 @@
             });
             return;
         }
-        transport::read_records found{this->earliest_, next, {}};
+        transport::read_records found{this->earliest_, next, {}, this->epoch_};
         for (auto it = from; it < next && found.records.size() < limit; ++it) {
             found.records.push_back({it, this->records_[it - 1]});
         }
@@ -118,6 +126,7 @@
 
     manual_time& time_;
     std::uint64_t earliest_ = 1;
+    std::uint64_t epoch_ = 0;
     std::vector<std::string> records_;
 };
 
--- a/Tests/fakes/faulty_log.h
+++ b/Tests/fakes/faulty_log.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -42,7 +44,7 @@
         else {
             this->streams_[stream].push_back(std::move(data));
             if (this->mode != fault::answer_lost) {
-                result = transport::append_done{this->streams_[stream].size()};
+                result = transport::append_done{this->streams_[stream].size(), this->epoch_};
             }
         }
         this->answers_.emplace_back([done = std::move(done), result] { done(result); });
@@ -54,11 +56,15 @@
         transport::read_result result = transport::read_unavailable{"outage"};
         if (this->mode == fault::none || this->mode == fault::answer_lost) {
             const auto& records = this->streams_[stream];
-            transport::read_records found{.earliest = 1, .next = records.size() + 1, .records = {}};
+            transport::read_records found{
+                .earliest = 1, .next = records.size() + 1, .records = {}, .epoch = this->epoch_};
             for (auto n = from; n <= records.size() && found.records.size() < limit; ++n) {
                 found.records.push_back({.offset = n, .data = records[n - 1]});
             }
             result = std::move(found);
+            if (from > records.size() + 1) {
+                result = transport::read_expired{.earliest = 1, .epoch = this->epoch_};
+            }
         }
         this->answers_.emplace_back([done = std::move(done), result] { done(result); });
     }
@@ -71,6 +77,16 @@
         }
     }
 
+    /// Restores all streams from a copy.
+    /// @param count number of records of each stream that the copy holds
+    void restore(std::size_t count)
+    {
+        for (auto& [name, records] : this->streams_) {
+            records.resize(std::min(records.size(), count));
+        }
+        ++this->epoch_;
+    }
+
     /// Delivers the oldest answer that is held back.
     /// @return whether there was one
     bool deliver()
@@ -85,6 +101,7 @@
     }
 
 private:
+    std::uint64_t epoch_ = 0;
     std::map<std::string, std::vector<std::string>> streams_;
     std::vector<std::pair<std::string, std::string>> late_;
     std::deque<std::function<void()>> answers_;
