controllers: Do not mix two histories of the own configuration log

Versions of the own configuration are offsets. After a restore of the log its feed went on with the next offset when the new history had grown that far, and folded its records on top of the lost ones.

--- a/Tests/controllers/test_config_log.cxx
+++ b/Tests/controllers/test_config_log.cxx
@@ -297,3 +297,23 @@
     time.run_for(10min);
     cr_assert(log.records().size() - last - 200 == 1);
 }
+
+// Guards against a configuration that is made of two histories, when offsets are given out again
+// after a restore of the log.
+Test(config_log, records_of_a_restored_log_are_not_taken_for_later_ones)
+{
+    fakes::manual_time time;
+    fakes::fake_log log(time);
+    entry_config entry(time, log);
+    entry.feed.start();
+    store_changes(log, 3);
+    time.run_for(5s);
+    cr_assert(entry.offset() == 3);
+    log.restore(1);
+    log.store("another history");
+    log.store("another history");
+    store_changes(log, 2);
+    time.run_for(20s);
+    cr_assert(entry.offset() == 3 && entry.store.view()->model_groups.size() == 3);
+    cr_assert(!entry.feed.is_log_available());
+}
