--- a/Tests/StandIns/platform_standin.cxx
+++ b/Tests/StandIns/platform_standin.cxx
@@ -278,10 +278,7 @@
         const auto from_offset = std::max<std::uint64_t>(query_number(target, "from", 1), 1);
         const auto limit = query_number(target, "limit", default_read_limit);
         const auto max_wait = std::chrono::milliseconds(query_number(target, "wait_ms", 0));
-        if (from_offset < source.earliest_offset) {
-            this->respond_log(*reply, status_gone, {{"earliest", source.earliest_offset}});
-        }
-        else if (from_offset > source.next_offset()) {
+        if (from_offset < source.earliest_offset || from_offset > source.next_offset()) {
             this->respond_log(*reply, status_gone, {{"earliest", source.earliest_offset}});
         }
         else if (from_offset < source.next_offset() || max_wait.count() == 0) {
