controllers: Refuse claims when the log that holds them was restored

Agents of plain services confirm a claim by reading their own record back. After a restore of the own log each agent read on from the offset that it had reached in the lost history and skipped what others had written below it: two agents confirmed the same key, and a request that must run once ran twice.

An agent that sees another epoch confirms no claim any more: it refuses new ones as unavailable (not run), goes on answering repeats of calls whose completion it knows, and says what to do. Going on in the new history was ruled out: a claim that was lost cannot be told from one that was never made.

--- a/Source/controllers/claim_controller.cxx
+++ b/Source/controllers/claim_controller.cxx
@@ -63,6 +63,10 @@
                         "an earlier request with the same idempotency key has not completed");
 }
 
+constexpr auto lost_history_message =
+    "the log was restored from an older copy and may have lost a claim of the key; restart the "
+    "agents when no call is repeated any more";
+
 claim_answer repeated_answer(const wire::completion& completion)
 {
     claim_answer answer;
@@ -115,6 +119,10 @@
         if (auto value = this->answer_without_claim(ticket.key, ticket.request_digest)) {
             this->post_answer(std::move(done), std::move(*value));
         }
+        else if (this->history_lost_) {
+            this->post_answer(std::move(done),
+                              make_refusal(claim_result::unavailable, lost_history_message));
+        }
         else {
             this->unconfirmed_keys_[ticket.key] = {.ticket = ticket, .completion = std::nullopt};
             pending_entry entry{
@@ -174,6 +182,19 @@
     return count;
 }
 
+bool claim_controller::is_known_history(std::uint64_t epoch)
+{
+    if (!this->epoch_) {
+        this->epoch_ = epoch;
+    }
+    if (*this->epoch_ != epoch && !std::exchange(this->history_lost_, true)) {
+        claim_log().error("The log was restored from an older copy (epoch {} after {}); new claims "
+                          "are refused. Restart the agents when no call is repeated any more.",
+                          epoch, *this->epoch_);
+    }
+    return !this->history_lost_;
+}
+
 std::optional<claim_answer> claim_controller::answer_without_claim(const digest128& key,
                                                                    std::uint64_t request_digest)
 {
@@ -300,8 +321,13 @@
         auto& partition = this->partitions_[index];
         partition.appending = false;
         if (const auto* stored = std::get_if<transport::append_done>(&result)) {
-            this->on_stored(partition, stored->offset);
-            this->read(index);
+            if (this->is_known_history(stored->epoch)) {
+                this->on_stored(partition, stored->offset);
+                this->read(index);
+            }
+            else {
+                this->refuse_lost_claims(partition);
+            }
         }
         else if (const auto* rejected = std::get_if<transport::append_rejected>(&result)) {
             this->on_not_stored(partition, false, rejected->reason);
@@ -355,6 +381,20 @@
     }
 }
 
+void claim_controller::refuse_lost_claims(partition_state& partition)
+{
+    for (auto& it : std::exchange(partition.being_appended, {})) {
+        if (it.on_attempted) {
+            this->actions_.add(std::move(it.on_attempted));
+        }
+        if (it.on_claimed) {
+            this->erase_unconfirmed_key(it.ticket);
+            this->post_answer(std::move(it.on_claimed),
+                              make_refusal(claim_result::unavailable, lost_history_message));
+        }
+    }
+}
+
 void claim_controller::read(std::size_t index)
 {
     auto& partition = this->partitions_[index];
@@ -380,17 +420,23 @@
         bool progress = false;
         std::string reason = "the record that was appended is not there";
         if (const auto* read = std::get_if<transport::read_records>(&result)) {
-            progress = !read->records.empty();
-            for (const auto& record : read->records) {
-                this->apply_record(partition, record);
+            if (this->is_known_history(read->epoch)) {
+                progress = !read->records.empty();
+                for (const auto& record : read->records) {
+                    this->apply_record(partition, record);
+                }
             }
         }
-        else if (const auto* expired = std::get_if<transport::read_expired>(&result)) {
+        else if (const auto* expired = std::get_if<transport::read_expired>(&result);
+                 expired != nullptr && this->is_known_history(expired->epoch)) {
             progress = expired->earliest > partition.next_read_offset;
             partition.next_read_offset = std::max(partition.next_read_offset, expired->earliest);
         }
-        else {
-            reason = std::get<transport::read_unavailable>(result).reason;
+        else if (const auto* failure = std::get_if<transport::read_unavailable>(&result)) {
+            reason = failure->reason;
+        }
+        if (this->history_lost_) {
+            reason = lost_history_message;
         }
         this->answer_read_claims(partition);
         partition.catching_up = partition.catching_up && progress;
--- a/Source/controllers/claim_controller.h
+++ b/Source/controllers/claim_controller.h
@@ -99,6 +99,10 @@
         std::optional<wire::completion> completion;
     };
 
+    /// @param epoch of the log, as stated in one of its answers
+    /// @return whether the log still has the history from which the claims are known
+    bool is_known_history(std::uint64_t epoch);
+
     std::optional<claim_answer> answer_without_claim(const digest128& key,
                                                      std::uint64_t request_digest);
     std::size_t partition_of(const digest128& key) const;
@@ -116,6 +120,8 @@
     void apply_record(partition_state& partition, const transport::stored_record& record);
     void answer_read_claims(partition_state& partition);
     claim_answer evaluate_claim(const partition_state& partition, const claim_ticket& ticket);
+    /// Refuses the claims of an append that a restored log has acknowledged.
+    void refuse_lost_claims(partition_state& partition);
     void fail_unread_claims(partition_state& partition, const std::string& reason);
     void post_answer(claim_callback done, claim_answer value);
     void erase_unconfirmed_key(const claim_ticket& ticket);
@@ -132,6 +138,8 @@
     std::size_t next_partition_ = 0; ///< the first one that the next flush considers
     time_point last_append_at_{};
     bool flush_scheduled_ = false;
+    std::optional<std::uint64_t> epoch_; ///< of the log; empty before its first answer
+    bool history_lost_ = false;          ///< the log was restored; no claim is confirmed any more
 };
 
 } // namespace medlaryoke::controllers
--- a/Tests/controllers/test_claims.cxx
+++ b/Tests/controllers/test_claims.cxx
@@ -1,6 +1,7 @@
 #include "controllers/claim_controller.h"
 
 #include <random>
+#include <string>
 
 #include <criterion/criterion.h>
 
@@ -56,6 +57,53 @@
     }
 }
 
+// Guards against requests with the same key that run at two agents (P4), because the log was
+// restored and each agent reads on from another offset.
+Test(claims, no_request_runs_twice_after_the_log_was_restored)
+{
+    for (unsigned seed = 1; seed <= 100; ++seed) {
+        std::mt19937 random(seed);
+        agent_fleet fleet(2);
+        for (const auto& agent : fleet.agents) {
+            agent->claims->start();
+        }
+        fleet.advance(500ms);
+        constexpr unsigned keys = 8;
+        const auto dispatch = [&](unsigned n) {
+            const auto key = "key" + std::to_string(n);
+            fleet.dispatch(random() % 2, key, key);
+        };
+        for (unsigned n = 0; n < keys / 2; ++n) {
+            dispatch(n);
+            fleet.advance(500ms);
+        }
+        for (const auto& agent : fleet.agents) {
+            for (const auto& call : agent->upstream.calls) {
+                call->answer("unlocked");
+            }
+        }
+        fleet.advance(500ms);
+        fleet.log.restore(random() % (keys / 2));
+        for (int n = 0; n < 30; ++n) {
+            dispatch(random() % keys);
+            for (auto steps = random() % 12; steps > 0; --steps) {
+                fleet.step();
+            }
+        }
+        fleet.advance(2s);
+        std::map<std::string, int> runs;
+        for (const auto& agent : fleet.agents) {
+            for (const auto& call : agent->upstream.calls) {
+                ++runs[call->request_id];
+            }
+        }
+        for (const auto& [key, count] : runs) {
+            cr_assert_eq(count, 1, "seed %u: %s ran %d times", seed, key.c_str(), count);
+        }
+        cr_assert_geq(runs.size(), keys / 2, "seed %u", seed);
+    }
+}
+
 // Guards against a second run of a request after the agent that ran it restarted.
 Test(claims, restart_between_claim_and_completion_leaves_the_key_unknown)
 {
