controllers: Stop writes and handover when the own log was restored

Operators' changes are written by a class that reads the stream by itself, and handover reads its own: both went on with the next offset in a restored log. A change was answered as accepted at an offset of the other history, and handed-over work was folded from it. Found by reading, after the same in the feed.

Whether a log still has the history that was read is now decided by one class, log_history, shared by the feed, the store and the writers of a stream, and by claims in place of their own members. After a restore changes are refused, what is in force stays, and an error says what to do.

--- a/Source/controllers/claim_controller.cxx
+++ b/Source/controllers/claim_controller.cxx
@@ -119,7 +119,7 @@
         if (auto value = this->answer_without_claim(ticket.key, ticket.request_digest)) {
             this->post_answer(std::move(done), std::move(*value));
         }
-        else if (this->history_lost_) {
+        else if (this->history_.is_lost()) {
             this->post_answer(std::move(done),
                               make_refusal(claim_result::unavailable, lost_history_message));
         }
@@ -184,15 +184,13 @@
 
 bool claim_controller::is_known_history(std::uint64_t epoch)
 {
-    if (!this->epoch_) {
-        this->epoch_ = epoch;
+    const bool was_lost = this->history_.is_lost();
+    if (!this->history_.continues(epoch) && !was_lost) {
+        claim_log().error(
+            "The log was restored from an older copy; new claims are refused. Restart "
+            "the agents when no call is repeated any more.");
     }
-    if (*this->epoch_ != epoch && !std::exchange(this->history_lost_, true)) {
-        claim_log().error("The log was restored from an older copy (epoch {} after {}); new claims "
-                          "are refused. Restart the agents when no call is repeated any more.",
-                          epoch, *this->epoch_);
-    }
-    return !this->history_lost_;
+    return !this->history_.is_lost();
 }
 
 std::optional<claim_answer> claim_controller::answer_without_claim(const digest128& key,
@@ -435,7 +433,7 @@
         else if (const auto* failure = std::get_if<transport::read_unavailable>(&result)) {
             reason = failure->reason;
         }
-        if (this->history_lost_) {
+        if (this->history_.is_lost()) {
             reason = lost_history_message;
         }
         this->answer_read_claims(partition);
--- a/Source/controllers/claim_controller.h
+++ b/Source/controllers/claim_controller.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "controllers/claim_service.h"
+#include "controllers/log_history.h"
 #include "controllers/serial_actions.h"
 #include "policy/claim_ledger.h"
 #include "transport/log_service.h"
@@ -138,8 +139,7 @@
     std::size_t next_partition_ = 0; ///< the first one that the next flush considers
     time_point last_append_at_{};
     bool flush_scheduled_ = false;
-    std::optional<std::uint64_t> epoch_; ///< of the log; empty before its first answer
-    bool history_lost_ = false;          ///< the log was restored; no claim is confirmed any more
+    log_history history_; ///< once it is lost, no claim is confirmed any more
 };
 
 } // namespace medlaryoke::controllers
--- a/Source/controllers/config_feed.cxx
+++ b/Source/controllers/config_feed.cxx
@@ -90,22 +90,19 @@
         this->read_later();
     }
 
-    /// Offsets are versions, so records of a restored log cannot follow the configuration.
     /// @param epoch of the log
     /// @return whether the log continues the history that this feed has read
     bool is_known_history(std::uint64_t epoch)
     {
-        if (!this->epoch_) {
-            this->epoch_ = epoch;
-        }
-        if (*this->epoch_ == epoch) {
+        if (this->store_.continues_history(epoch)) {
             return true;
         }
         if (this->set_available(false)) {
-            this->logger_.error("the log was restored from an older copy (epoch {} after {}); the "
-                                "configuration stays at offset {}. Apply the newest configuration "
-                                "again and restart all processes.",
-                                epoch, *this->epoch_, this->store_.view()->offset);
+            this->logger_.error(
+                "the log was restored from an older copy; the configuration stays "
+                "at offset {}. Apply the newest configuration again and restart all "
+                "processes.",
+                this->store_.view()->offset);
         }
         this->read_later();
         return false;
@@ -193,7 +190,6 @@
     duration retry_delay_;
     std::uint64_t last_read_offset_ = 0; ///< never assigned, so on_result() compares with 0
     std::optional<snapshot_search> snapshot_search_;
-    std::optional<std::uint64_t> epoch_; ///< of the log; empty before the first answer
     logger logger_{"config"};
 };
 
--- a/Source/controllers/config_store.cxx
+++ b/Source/controllers/config_store.cxx
@@ -7,6 +7,7 @@
 
 #include "base/error.h"
 #include "base/logging.h"
+#include "controllers/log_history.h"
 #include "controllers/snapshot_assembler.h"
 
 namespace medlaryoke::controllers {
@@ -90,6 +91,7 @@
     }
 
     mutable std::mutex mutex;
+    log_history history;
     policy::config_ledger ledger;
     view_ptr current_view = std::make_shared<config_view>();
     snapshot_assembler snapshots;
@@ -202,6 +204,12 @@
     return this->impl_->fold(records);
 }
 
+bool config_store::continues_history(std::uint64_t epoch)
+{
+    const std::scoped_lock lock(this->impl_->mutex);
+    return this->impl_->history.continues(epoch);
+}
+
 wire::config_records config_store::records_from(std::uint64_t from_offset) const
 {
     const std::scoped_lock lock(this->impl_->mutex);
--- a/Source/controllers/config_store.h
+++ b/Source/controllers/config_store.h
@@ -61,6 +61,10 @@
     /// @return whether the offset increased
     bool fold(const wire::config_records& records);
 
+    /// @param epoch of the log that holds the configuration stream
+    /// @return whether the log still has the history from which this configuration was folded
+    bool continues_history(std::uint64_t epoch);
+
     /// Collects the records that a peer at an older offset is missing.
     /// @param from_offset first offset that the peer does not have
     /// @return the records; a snapshot of the whole state if some of them are no longer retained
--- a/Source/controllers/config_writer.cxx
+++ b/Source/controllers/config_writer.cxx
@@ -32,14 +32,17 @@
 config_writer::config_writer(transport::log_service& log, config_store& store,
                              const clock_source& clock, delayed_call after,
                              operation_writer_options options)
-    : store_(store), writer_(log,
-                             {.name = std::string(config_stream),
-                              .offset = [&store] { return store.view()->offset; },
-                              .fold =
-                                  [&store](std::vector<transport::stored_record> records) {
-                                      store.fold(to_config_records(std::move(records)));
-                                  }},
-                             clock, std::move(after), options)
+    : store_(store),
+      writer_(
+          log,
+          {.name = std::string(config_stream),
+           .offset = [&store] { return store.view()->offset; },
+           .fold =
+               [&store](std::vector<transport::stored_record> records) {
+                   store.fold(to_config_records(std::move(records)));
+               },
+           .continues = [&store](std::uint64_t epoch) { return store.continues_history(epoch); }},
+          clock, std::move(after), options)
 {
 }
 
--- a/Source/controllers/handover_controller.cxx
+++ b/Source/controllers/handover_controller.cxx
@@ -14,6 +14,7 @@
 #include "base/identifiers.h"
 #include "base/json_text.h"
 #include "base/logging.h"
+#include "controllers/log_history.h"
 
 namespace medlaryoke::controllers {
 
@@ -42,6 +43,11 @@
                    .fold =
                        [this](const std::vector<transport::stored_record>& records) {
                            this->fold(records);
+                       },
+                   .continues =
+                       [this](std::uint64_t epoch) {
+                           const std::scoped_lock lock(this->mutex_);
+                           return this->history_.continues(epoch);
                        }},
                   clock, this->ports_.after, {})
     {
@@ -162,6 +168,9 @@
 
     void on_result(const transport::read_records& result)
     {
+        if (!this->is_known_history(result.epoch)) {
+            return;
+        }
         const auto previous_offset = this->offset();
         this->fold(result.records);
         if (this->offset() == previous_offset && !result.records.empty()) {
@@ -173,6 +182,9 @@
 
     void on_result(const transport::read_expired& result)
     {
+        if (!this->is_known_history(result.epoch)) {
+            return;
+        }
         this->logger_.warning("handover records before offset {} have expired", result.earliest);
         {
             const std::scoped_lock lock(this->mutex_);
@@ -183,6 +195,24 @@
 
     void on_result(const transport::read_unavailable&) { this->read_later(); }
 
+    /// @param epoch of the log
+    /// @return whether the log continues the history that this controller has read
+    bool is_known_history(std::uint64_t epoch)
+    {
+        {
+            const std::scoped_lock lock(this->mutex_);
+            if (this->history_.continues(epoch)) {
+                return true;
+            }
+        }
+        if (!this->reported_loss_.exchange(true)) {
+            this->logger_.error("the log was restored from an older copy; no work is handed over "
+                                "any more. Settle what is open and restart all processes.");
+        }
+        this->read_later();
+        return false;
+    }
+
     void read_later()
     {
         this->run_later(this->options_.check_interval, [](auto& self) { self.read(); });
@@ -364,6 +394,8 @@
     std::set<std::string> active_work_; ///< ids of work that this entry starts, runs or ends
     std::map<std::string, time_point> runner_lost_since_; ///< by work id
     operation_writer writer_;
+    log_history history_;
+    std::atomic<bool> reported_loss_ = false;
     logger logger_{"entry"};
 };
 
--- a/Source/controllers/operation_writer.cxx
+++ b/Source/controllers/operation_writer.cxx
@@ -60,7 +60,8 @@
                     return;
                 }
                 current->append_ended_at = self->clock_.now();
-                if (const auto* stored = std::get_if<transport::append_done>(&result)) {
+                const auto* stored = std::get_if<transport::append_done>(&result);
+                if (stored != nullptr && self->stream_.continues(stored->epoch)) {
                     self->read_back(current, stored->offset);
                 }
                 else {
@@ -126,7 +127,7 @@
                         [self = this->shared_from_this(),
                          done = std::move(done)](transport::read_result result) {
                             auto* read = std::get_if<transport::read_records>(&result);
-                            if (read == nullptr) {
+                            if (read == nullptr || !self->stream_.continues(read->epoch)) {
                                 done(false);
                                 return;
                             }
--- a/Source/controllers/operation_writer.h
+++ b/Source/controllers/operation_writer.h
@@ -41,6 +41,8 @@
     std::function<std::uint64_t()> offset; ///< returns the offset of the last record folded
     /// Folds records into the state; skips records that were folded before.
     std::function<void(std::vector<transport::stored_record>)> fold;
+    /// Returns whether the log, whose epoch is given, still has the history of the state.
+    std::function<bool(std::uint64_t epoch)> continues;
 };
 
 /// One operation. Exactly one of the callbacks answers the caller, exactly once.
--- a/Tests/controllers/test_config_log.cxx
+++ b/Tests/controllers/test_config_log.cxx
@@ -316,4 +316,8 @@
     time.run_for(20s);
     cr_assert(entry.offset() == 3 && entry.store.view()->model_groups.size() == 3);
     cr_assert(!entry.feed.is_log_available());
+    entry.submit("op-1", "anna", 0);
+    time.run_for(20s);
+    cr_assert(entry.result && !std::holds_alternative<policy::change_accepted>(*entry.result));
+    cr_assert(entry.offset() == 3);
 }
--- a/Tests/controllers/test_handover.cxx
+++ b/Tests/controllers/test_handover.cxx
@@ -313,3 +313,26 @@
     it.time.run_for(1s);
     parse_reply(late, 409);
 }
+
+// Guards against work that is handed over by records of another history, after the log was restored
+// and has grown past the offset that was read.
+Test(handover, records_of_a_restored_log_are_not_taken_for_later_ones)
+{
+    entry_group group(1);
+    group.send("POST", "w1/offer", "op-1");
+    group.time.run_for(5s);
+    const auto state = group.state_of("w1");
+    cr_assert(group.log.records().size() > 1);
+    const auto records = group.log.records().size();
+    group.log.restore(1);
+    while (group.log.records().size() < records) {
+        group.log.store("another history");
+    }
+    group.log.store(group.log.records().front());
+    const auto appends = group.log.appends;
+    group.send("POST", "w2/offer", "op-2");
+    group.time.run_for(20s);
+    cr_assert(group.log.appends == appends);
+    cr_assert(!group.controllers.front()->find("w2").has_value());
+    cr_assert(group.state_of("w1") == state);
+}
