gateway: Measure delays of the event loop; show run limits and the time in the queue

Logs and metrics could not tell a coordinator that stands still from one that waits for ranks, nor a request that waits in the gateway from one that waits at its upstream.

Adds the histogram loop_delay_seconds with a log line from 100 ms on, the gauges run_limit, step_work_factor and mean_running by service, and queued_ms in the line 'request ended'. No decision changes.

--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -153,6 +153,16 @@
     }
 }
 
+void gateway::update_gauges()
+{
+    for (const auto& [name, dispatcher] : this->dispatchers_) {
+        const auto label = fmt::format("service=\"{}\"", name);
+        this->metrics_.set("run_limit", label, dispatcher->step_limit().run_limit());
+        this->metrics_.set("step_work_factor", label, dispatcher->step_limit().work_factor());
+        this->metrics_.set("mean_running", label, dispatcher->scheduler().mean_running());
+    }
+}
+
 std::vector<std::shared_ptr<proxied_request>> gateway::all_requests() const
 {
     std::vector<std::shared_ptr<proxied_request>> requests;
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -81,6 +81,9 @@
     /// Enforces the requests' timeouts; to be called every few tens of milliseconds.
     void tick();
 
+    /// Sets the gauges of the services: run limit, work factor and running requests per upstream.
+    void update_gauges();
+
     /// @return requests that this gateway runs, by upstream key
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running_by_upstream() const;
 
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -16,6 +16,10 @@
 // Deadlines and timeouts are checked this often, so each is enforced at most this late.
 constexpr auto tick_interval = std::chrono::milliseconds(20);
 
+// Delays of the event loop from this length on are logged. A stream event that waits for longer
+// makes its stream late.
+constexpr auto logged_loop_delay = std::chrono::milliseconds(100);
+
 // Time between two listings of the gateways' topic, which finds gateways that no seed knows.
 constexpr auto gateway_list_interval = std::chrono::seconds(15);
 constexpr auto publish_retry_delay = std::chrono::seconds(1);
@@ -483,6 +487,7 @@
 {
     // First, so that a failure does not end the ticks.
     this->context_.after(tick_interval, [this] { this->tick(); });
+    this->measure_loop_delay();
     this->confirm_config();
     this->rewrite_own_records();
     if (this->registry_.expire(this->clock_.now())) {
@@ -498,6 +503,25 @@
     this->update_coordinator_role();
 }
 
+void gateway_process::measure_loop_delay()
+{
+    const auto now = this->clock_.now();
+    const auto previous = std::exchange(this->last_tick_at_, now);
+    if (previous == time_point{}) {
+        return;
+    }
+    const auto delay = std::max<duration>(now - previous - tick_interval, duration::zero());
+    this->gateway_.metrics().observe("loop_delay", {}, delay);
+    if (delay >= logged_loop_delay) {
+        this->log_.sample(
+            log_level::warning, "event loop was late",
+            {{"delay_ms",
+              static_cast<std::int64_t>(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(delay).count())},
+             {"open_requests", static_cast<std::int64_t>(this->gateway_.open_requests())}});
+    }
+}
+
 bool gateway_process::is_ready() const
 {
     return !this->is_draining_ && !this->confirmation_ && this->started_at_ != time_point{};
@@ -530,6 +554,7 @@
 std::string gateway_process::metrics_text()
 {
     auto& metrics = this->gateway_.metrics();
+    this->gateway_.update_gauges();
     metrics.set("open_requests", {}, static_cast<double>(this->gateway_.open_requests()));
     metrics.set("config_version", {}, static_cast<double>(this->config_.version()));
     metrics.set("ready", {}, this->is_ready() ? 1 : 0);
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -132,6 +132,9 @@
     /// itself.
     void tick();
 
+    /// Measures by how much the last tick was late, which every event of the loop then was.
+    void measure_loop_delay();
+
     /// Rereads the settings and applies the retry budget, the grace period and the seeds.
     void reload_settings();
 
@@ -173,6 +176,7 @@
     /// Connects to the peer from which the configuration is fetched.
     std::unique_ptr<transport::http_client> config_client_;
     time_point started_at_{};
+    time_point last_tick_at_{};
     /// Epoch of the store in which it acknowledged the heartbeat address; empty while a call is
     /// open.
     std::optional<std::uint64_t> address_epoch_;
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -92,6 +92,7 @@
     this->attempt_->target = target;
     this->attempt_->sent_at = this->dispatcher_->clock().now();
     this->attempt_->last_received_at = this->attempt_->sent_at;
+    this->time_in_queue_ = this->attempt_->sent_at - this->details_.arrived;
     const duration time_left = this->details_.deadline - this->attempt_->sent_at + deadline_margin;
     if (this->attempt_count_ == 1) {
         this->dispatcher_->metrics().observe("queue_wait", {},
@@ -615,6 +616,7 @@
          {"attempts", static_cast<std::int64_t>(this->attempt_count_)},
          {"events", static_cast<std::int64_t>(this->splitter_.event_count())},
          {"took_ms", to_milliseconds(now - this->details_.arrived)},
+         {"queued_ms", to_milliseconds(this->time_in_queue_)},
          {"first_event_ms", to_milliseconds(this->first_event_latency_)},
          {"longest_gap_ms", to_milliseconds(this->longest_event_gap_)},
          {"late", is_late},
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -155,6 +155,7 @@
     transport::event_splitter splitter_;
     std::optional<transport::http_response> upstream_failure_; ///< last 5xx response of an upstream
     std::string last_failure_reason_;
+    duration time_in_queue_{};       ///< from the arrival until the last attempt was sent
     duration first_event_latency_{}; ///< from the request's arrival to the first event
     duration longest_event_gap_{};
 };
