policy, gateway: Choose upstreams by what the reports of load do not show yet

Callers of the large site got first events 0.6 to 2.2 s late while steps took 0.12 s at most: their requests waited at an engine for a slot while other engines had free ones. Some left, and the slots that waiting requests took in the count of the run limit were refused to others.

Cause: each gateway sent to the upstream with the lowest known load. Loads of others are as old as their last report, 0.15 s in the mean; in that time 70 requests of 60 gateways start, all of them at the same few upstreams. The herd grows with the number of gateways and with the age of the reports.

With no unreported requests that is the lowest load, as before.

--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -123,13 +123,14 @@
 }
 
 void gateway::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
-                              std::size_t gateway_count)
+                              const policy::load_reports& reports, std::size_t gateway_count)
 {
     this->remote_load_ = running;
+    this->load_reports_ = reports;
     this->gateway_count_ = gateway_count;
     for (const auto& [name, dispatcher] : this->dispatchers_) {
         dispatcher->set_retry_budget(this->options_.retry_budget, gateway_count);
-        dispatcher->set_remote_load(running);
+        dispatcher->set_remote_load(running, reports);
     }
 }
 
@@ -191,7 +192,7 @@
             this->held_bytes_, this->guard_, this->limits_, name,
             hash64(name, this->options_.seed));
         dispatcher->set_retry_budget(this->options_.retry_budget, this->gateway_count_);
-        dispatcher->set_remote_load(this->remote_load_);
+        dispatcher->set_remote_load(this->remote_load_, this->load_reports_);
         if (this->config_.active().config) {
             dispatcher->configure(*this->config_.active().config);
         }
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -70,9 +70,10 @@
 
     /// Updates the load and the number of the other gateways.
     /// @param running requests that they run, by upstream key
+    /// @param reports age of these numbers
     /// @param gateway_count number of gateways, this one included
     void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
-                         std::size_t gateway_count);
+                         const policy::load_reports& reports, std::size_t gateway_count);
 
     /// Replaces the retry budget.
     /// @param budget shared by all gateways
@@ -118,6 +119,7 @@
     std::size_t gateway_count_ = 1;
     bool refuses_new_requests_ = false;
     std::unordered_map<std::uint64_t, unsigned> remote_load_;
+    policy::load_reports load_reports_;
     std::map<std::string, std::vector<model::upstream_entry>> upstreams_by_service_;
     std::map<std::string, std::shared_ptr<service_dispatcher>> dispatchers_;
     std::unordered_map<std::uint64_t, std::shared_ptr<proxied_request>> open_requests_;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -432,6 +432,7 @@
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
     this->gateway_.set_remote_load(this->peer_exchange_->table().running(now),
+                                   this->peer_exchange_->table().reports(now),
                                    this->peer_exchange_->table().sharing_gateways(now));
     const auto newest =
         std::ranges::max_element(alive, {}, &policy::peer_heartbeat::config_version);
--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -53,9 +53,10 @@
     this->dispatch();
 }
 
-void service_dispatcher::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running)
+void service_dispatcher::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
+                                         const policy::load_reports& reports)
 {
-    this->scheduler_.set_remote_load(running);
+    this->scheduler_.set_remote_load(running, reports);
     this->dispatch();
 }
 
--- a/Source/gateway/service_dispatcher.h
+++ b/Source/gateway/service_dispatcher.h
@@ -50,7 +50,9 @@
                        const std::string& own_data_centre);
 
     /// @param running requests of the other gateways, by upstream key
-    void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running);
+    /// @param reports age of these numbers
+    void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
+                         const policy::load_reports& reports);
 
     /// @param options retry budget of all gateways together
     /// @param gateway_count number of gateways that share it, this one included
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -97,6 +97,22 @@
     return totals;
 }
 
+load_reports peer_table::reports(time_point now) const
+{
+    load_reports result;
+    duration age{};
+    for (const auto& [name, it] : this->peers_) {
+        if (!this->is_silent(it, now)) {
+            age += now - it.last_heard;
+            ++result.gateways;
+        }
+    }
+    if (result.gateways > 0) {
+        result.mean_time = now - age / static_cast<duration::rep>(result.gateways);
+    }
+    return result;
+}
+
 std::size_t peer_table::sharing_gateways(time_point now) const
 {
     const bool has_just_started =
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/load_reports.h"
 #include "policy/log_position.h"
 #include "policy/prompt_quarantine.h"
 #include "policy/shared_rate_limits.h"
@@ -76,6 +77,9 @@
     /// @return running requests of the peers that are not silent, summed by upstream id
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running(time_point now) const;
 
+    /// @return age of the numbers that running() sums
+    [[nodiscard]] load_reports reports(time_point now) const;
+
     /// @return number of gateways among which a limit of all gateways is divided: this one and its
     /// peers, whether silent or not, as silent ones may only be cut off. A process that has just
     /// started counts the listed ones too.
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -40,6 +40,42 @@
         std::chrono::duration<double>(seconds), longest_wait));
 }
 
+/// An upstream that takes a request, and its load.
+struct candidate_upstream {
+    double load = 0;
+    std::uint64_t id = 0;
+};
+
+/// Computes weights for a random choice of upstreams. A number of requests spread by these weights
+/// raises the lowest loads to the same level. See M. Dahlin, Interpreting Stale Load Information,
+/// IEEE Trans. Parallel Distrib. Syst. 11(10), 2000.
+/// @param candidates at least one upstream; sorted by load on return
+/// @param requests number of requests to be spread; not negative
+/// @return weights of the candidates with a load below the level, in their order; with no requests
+/// the candidates with the lowest load have equal weights
+std::vector<double> leveling_weights(std::vector<candidate_upstream>& candidates, double requests)
+{
+    std::ranges::sort(candidates, {}, &candidate_upstream::load);
+    double sum = 0;
+    std::size_t count = 0;
+    double level = candidates.front().load;
+    while (count < candidates.size() && (count == 0 || candidates[count].load < level)) {
+        sum += candidates[count].load;
+        ++count;
+        level = (requests + sum) / static_cast<double>(count);
+    }
+    std::vector<double> weights;
+    for (std::size_t n = 0; n < count; ++n) {
+        weights.push_back(level - candidates[n].load);
+    }
+    if (std::ranges::all_of(weights, [](double it) { return it <= 0; })) {
+        const auto lowest = std::ranges::upper_bound(candidates, candidates.front().load, {},
+                                                     &candidate_upstream::load);
+        weights.assign(static_cast<std::size_t>(lowest - candidates.begin()), 1);
+    }
+    return weights;
+}
+
 auto serving_order(const scheduled_request& it)
 {
     return std::tuple(it.organisation_rank, it.priority, !it.is_retry, it.arrived, it.id);
@@ -79,8 +115,10 @@
     this->outliers_.set_members(ids);
 }
 
-void upstream_scheduler::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running)
+void upstream_scheduler::set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
+                                         const load_reports& reports)
 {
+    this->reports_ = reports;
     for (auto& [id, it] : this->upstreams_) {
         const auto found = running.find(id);
         it.remote_running = found == running.end() ? 0 : found->second;
@@ -152,6 +190,10 @@
     constexpr double max_credit = 3;
     auto& target = this->upstreams_[upstream];
     ++target.own_running;
+    this->send_times_.push_back(now);
+    while (this->send_times_.front() <= now - this->options_.send_rate_window) {
+        this->send_times_.pop_front();
+    }
     if (this->rate_limits_ != nullptr) {
         this->rate_limits_->on_sent(target.incarnation, now);
     }
@@ -421,8 +463,7 @@
                                                                  double median, time_point now,
                                                                  unsigned priority)
 {
-    std::vector<std::uint64_t> best;
-    double best_score = 0;
+    std::vector<candidate_upstream> candidates;
     const bool has_capacity = this->has_capacity(priority);
     for (const auto& [id, it] : this->upstreams_) {
         // Permits are issued for single requests, so none of them is kept for urgent ones.
@@ -430,20 +471,24 @@
         if (!is_free || !this->can_accept(id, it, request, now)) {
             continue;
         }
-        const auto value = this->score(it, median, now);
-        if (best.empty() || value < best_score) {
-            best.assign(1, id);
-            best_score = value;
-        }
-        else if (value == best_score) {
-            best.push_back(id);
-        }
+        candidates.push_back({this->score(it, median, now), id});
     }
-    if (best.empty()) {
+    if (candidates.empty()) {
         return std::nullopt;
     }
-    std::uniform_int_distribution<std::size_t> pick(0, best.size() - 1);
-    return best[pick(this->random_)];
+    const auto weights = leveling_weights(candidates, this->unreported_requests(now));
+    std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
+    return candidates[pick(this->random_)].id;
+}
+
+double upstream_scheduler::unreported_requests(time_point now) const
+{
+    const auto sent = std::ranges::count_if(this->send_times_, [this, now](time_point at) {
+        return at > now - this->options_.send_rate_window;
+    });
+    return static_cast<double>(sent) *
+           std::chrono::duration<double>(this->reports_.total_age(now)) /
+           this->options_.send_rate_window;
 }
 
 std::optional<std::uint64_t> upstream_scheduler::choose_probe(const scheduled_request& request,
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "model/upstream_entry.h"
+#include "policy/load_reports.h"
 #include "policy/outlier_detector.h"
 #include "policy/shared_rate_limits.h"
 
@@ -49,6 +50,9 @@
     duration refusal_backoff = std::chrono::milliseconds(150);
     /// How long an upstream gets no further request after it refused a connection.
     duration unreachable_backoff = std::chrono::seconds(1);
+    /// Period over which the rate of own requests is measured. Other gateways are taken to send at
+    /// the same rate.
+    duration send_rate_window = std::chrono::seconds(4);
     /// Multiple of the median latency from which an upstream counts as slow.
     double slow_factor = 1.5;
     /// Latencies older than this are ignored, so that a slow upstream that has recovered gets
@@ -57,7 +61,9 @@
 };
 
 /// Assigns the waiting requests of one service to its upstreams. Urgent requests go first, each to
-/// the upstream with the lowest load, which includes the requests of other gateways. Slow, refusing
+/// an upstream with a low load, which includes the requests of other gateways. Requests that these
+/// have sent since their last reports are expected at the upstreams with the lowest reported load,
+/// so the choice is random with the weights that would level the load of all. Slow, refusing
 /// and failing upstreams are avoided. No upstream gets more requests than it can run at once,
 /// because its own queue would not respect priorities. Not thread safe.
 class upstream_scheduler {
@@ -76,7 +82,9 @@
 
     /// Replaces the load that other gateways put on the upstreams.
     /// @param running number of running requests by upstream
-    void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running);
+    /// @param reports age of these numbers
+    void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
+                         const load_reports& reports = {});
 
     /// Limits the running requests and the prefill work of the upstreams.
     /// @param max_mean_running running requests per upstream, as a mean over the service; with
@@ -206,6 +214,8 @@
     /// @param priority whose share of the capacity may be used
     std::optional<std::uint64_t> choose_upstream(const scheduled_request& request, double median,
                                                  time_point now, unsigned priority);
+    /// @return number of requests that the other gateways have probably sent since their reports
+    [[nodiscard]] double unreported_requests(time_point now) const;
     std::optional<std::uint64_t> choose_probe(const scheduled_request& request, time_point now);
 
     scheduler_options options_;
@@ -219,6 +229,8 @@
     double max_mean_running_;
     double max_prefill_tokens_;
     std::deque<time_point> completion_times_; ///< of own requests within the window
+    load_reports reports_;
+    std::deque<time_point> send_times_; ///< of own requests within the window
 };
 
 } // namespace medlaryoke::policy
--- a/Tests/policy/test_overfilled_upstreams.cxx
+++ b/Tests/policy/test_overfilled_upstreams.cxx
@@ -115,7 +115,16 @@
         for (const auto& [upstream, count] : this->reports_[gateway]) {
             remote[upstream] -= count;
         }
-        this->gateways_[gateway].set_remote_load(remote);
+        load_reports reports;
+        duration age{};
+        for (std::size_t n = 0; n < this->gateways_.size(); ++n) {
+            if (n != gateway) {
+                age += this->now_ - this->reported_at_[n];
+                ++reports.gateways;
+            }
+        }
+        reports.mean_time = this->now_ - age / static_cast<duration::rep>(reports.gateways);
+        this->gateways_[gateway].set_remote_load(remote, reports);
     }
 
     void arrive(std::size_t gateway, bool is_counted)
