gateway: Drop the load of gateways that have ended without waiting for another heartbeat

The load of other gateways was taken over with each heartbeat. A gateway whose peers have all ended gets no heartbeat any more, so it kept the load of those peers and, since the choice of upstreams allows for requests that are not reported yet, expected ever more of them: its choice became random whatever it ran itself.

The tick now takes over the load of the peers that are left when one falls silent, with a line 'load reports'.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -431,9 +431,7 @@
     this->gateway_.limits().on_heartbeat(heartbeat);
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
-    this->gateway_.set_remote_load(this->peer_exchange_->table().running(now),
-                                   this->peer_exchange_->table().reports(now),
-                                   this->peer_exchange_->table().sharing_gateways(now));
+    this->update_remote_load(now);
     const auto newest =
         std::ranges::max_element(alive, {}, &policy::peer_heartbeat::config_version);
     if (newest != alive.end() && (*newest)->config_version > this->config_.version()) {
@@ -454,6 +452,17 @@
     }
 }
 
+void gateway_process::update_remote_load(time_point now)
+{
+    const auto& peers = this->peer_exchange_->table();
+    const auto reports = peers.reports(now);
+    this->gateway_.set_remote_load(peers.running(now), reports, peers.sharing_gateways(now));
+    if (std::exchange(this->reporting_gateways_, reports.gateways) != reports.gateways) {
+        this->log_.sample(log_level::info, "load reports",
+                          {{"gateways", static_cast<std::int64_t>(reports.gateways)}});
+    }
+}
+
 void gateway_process::report_limits_soon()
 {
     if (!std::exchange(this->is_reporting_limits_, true)) {
@@ -489,6 +498,11 @@
     // First, so that a failure does not end the ticks.
     this->context_.after(tick_interval, [this] { this->tick(); });
     this->measure_loop_delay();
+    // A peer that has ended sends no heartbeat that would remove its load.
+    if (const auto now = this->clock_.now();
+        this->peer_exchange_->table().reports(now).gateways < this->reporting_gateways_) {
+        this->update_remote_load(now);
+    }
     this->confirm_config();
     this->rewrite_own_records();
     if (this->registry_.expire(this->clock_.now())) {
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -132,6 +132,9 @@
     /// itself.
     void tick();
 
+    /// Takes over the load that the peers which are not silent have reported.
+    void update_remote_load(time_point now);
+
     /// Measures by how much the last tick was late, which every event of the loop then was.
     void measure_loop_delay();
 
@@ -177,6 +180,7 @@
     std::unique_ptr<transport::http_client> config_client_;
     time_point started_at_{};
     time_point last_tick_at_{};
+    std::size_t reporting_gateways_ = 0; ///< peers whose load counts
     /// Epoch of the store in which it acknowledged the heartbeat address; empty while a call is
     /// open.
     std::optional<std::uint64_t> address_epoch_;
--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -270,3 +270,28 @@
     cr_assert(!site.gateway.poll_exit_status().has_value());
     ::close(pipe);
 }
+
+// Guards against a gateway that goes on allowing for the requests of gateways that are gone, and
+// then ignores how its own are spread.
+Test(gateway_process, ended_gateways_no_longer_count_in_the_load)
+{
+    single_gateway_site site;
+    gateway_child second(site.directory, 1, 2, site.store.address());
+    gateway_child first(site.directory, 2, 2, site.store.address());
+    second.start();
+    first.start();
+    const auto reports_of = [](const gateway_child& gateway, int count) {
+        return gateway.log().find(fmt::format(R"("event":"load reports","gateways":{})", count)) !=
+               std::string::npos;
+    };
+    const auto wait_for = [&](int count) {
+        for (int n = 0; n < 400 && !reports_of(first, count); ++n) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return reports_of(first, count);
+    };
+    cr_assert(wait_for(2));
+    second.send_signal(SIGKILL);
+    site.gateway.send_signal(SIGKILL);
+    cr_assert(wait_for(0));
+}
