--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -118,6 +118,7 @@
         self.server = Server(self.handle)
         self.address = None
         self.silent = set()  # connections that answer nothing more
+        self.is_down = False  # answers 503 to all calls
 
     async def start(self):
         host = loopback(0)
@@ -136,14 +137,22 @@
         """Lets all open connections go silent, without a reset; new ones work."""
         self.silent |= self.server.connections
 
+    async def set_down(self, is_down):
+        self.is_down = is_down
+        async with self.changed:
+            self.changed.notify_all()
+
     async def reply(self, writer, data):
         if writer in self.silent:
             await asyncio.Event().wait()
-        writer.write(data)
+        writer.write(json_reply(503, {}) if self.is_down else data)
 
     async def handle(self, request, _, writer):
         if writer in self.silent:
             await asyncio.Event().wait()
+        if self.is_down:
+            writer.write(json_reply(503, {}))
+            return
         topic = request.query.get("topic", "")
         records = self.topics.setdefault(topic, [])
         if request.path == "/log-append":
@@ -166,7 +175,8 @@
         first = int(query["from"])
         with contextlib.suppress(asyncio.TimeoutError):
             async with self.changed:
-                await asyncio.wait_for(self.changed.wait_for(lambda: len(records) > first),
+                await asyncio.wait_for(self.changed.wait_for(lambda: self.is_down or
+                                                             len(records) > first),
                                        int(query.get("waitMs", 0)) / 1000 + 0.001)
         body = struct.pack(">QQ", len(records), 0)
         for key, data in records[first:]:
@@ -434,6 +444,8 @@
     def __init__(self, index, service="order-desk"):
         self.service = service
         self.runs = []  # (time, request id)
+        self.is_leaving = False  # says so in all answers
+        self.leaving_answers = set()  # ids of requests that got such an answer
         self.host = loopback(60 + index)
         self.address = f"{self.host}:{ENGINE_PORT}"
         self.zone = ZONES[index % len(ZONES)]
@@ -444,10 +456,13 @@
 
     async def start(self, store):
         await self.server.start(self.host, ENGINE_PORT)
+        await self.write_entry(store)
+
+    async def write_entry(self, store):
         await store.put("keyed.servers", self.id, {
             "service": self.service, "address": self.address, "zone": self.zone, "version": 1,
-            "slots": self.SLOTS, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-            "born": self.born})
+            "slots": self.SLOTS, "state": "draining" if self.is_leaving else "ready",
+            "coldRemainingMs": 0, "sequence": 1, "born": self.born})
 
     async def handle(self, request, _, writer):
         if request.headers.get("medlaryoke-expect-instance") != self.id:
@@ -457,9 +472,12 @@
         async with self.slots:
             self.runs.append((time.monotonic(), request_id))
             await asyncio.sleep(0.03)
-        writer.write(encode_reply(200, [("Medlaryoke-Request-Id", request_id),
-                                        ("Medlaryoke-Server-Stamp", f"{self.id}.{request_id}")],
-                                  request_id.encode() + b"." * 780))
+        headers = [("Medlaryoke-Request-Id", request_id),
+                   ("Medlaryoke-Server-Stamp", f"{self.id}.{request_id}")]
+        if self.is_leaving:
+            headers.append(("Server-Leaving", "1"))
+            self.leaving_answers.add(request_id)
+        writer.write(encode_reply(200, headers, request_id.encode() + b"." * 780))
 
 
 class Process:
@@ -579,6 +597,7 @@
         self.gateways, self.kinds = gateways, kinds
         self.addresses = []
         self.outcomes = []
+        self.served_at = {}  # by request id
         self.factor = 1.0  # multiplies all rates
 
     async def follow_directory(self):
@@ -625,6 +644,7 @@
             outcome.attempts.append((request_id, address, result))
             if result == "served":
                 outcome.served = True
+                self.served_at[request_id] = time.monotonic()
                 return
             may_repeat = result in ("429", "503", "408", "421") or kind.events or kind.is_safe
             if not may_repeat or time.monotonic() + wait_s >= deadline:
