--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -221,6 +221,7 @@
     def send_event(self):
         if not self.has_begun:
             self.has_begun = True
+            self.engine.runs.append((time.monotonic(), self.id))
             self.writer.write((f"HTTP/1.1 200 OK\r\nMedlaryoke-Request-Id: {self.id}\r\n"
                                f"Medlaryoke-Server-Stamp: {self.engine.id}.{self.id}\r\n"
                                "Content-Type: text/event-stream\r\n"
@@ -241,19 +242,17 @@
         self.host = loopback(20 + rank)
         self.address = f"{self.host}:{ENGINE_PORT}"
         self.running, self.queue = [], []
+        self.runs = []  # (time, request id) of the streams that began
         self.server = Server(self.handle)
-        self.is_up = False
         self.id = None
         self.born = 0
 
     async def start(self):
         self.id = f"i-{random.getrandbits(40):010x}"
         self.born = int(time.time() * 1000)
-        self.is_up = True
         await self.server.start(self.host, ENGINE_PORT)
 
     def crash(self):
-        self.is_up = False
         self.server.crash()
         for stream in self.running + self.queue:
             stream.end()
@@ -339,6 +338,9 @@
                            "expertMb": 2500.0, "linkMbps": 180000.0, "expertShare": 0.85,
                            "form_ms": self.FORM_S * 1000}}
 
+    def mean_running(self):
+        return sum(len(it.running) for it in self.engines) / self.RANKS
+
     def slowness(self, rank):
         return self.slow_factor if rank < self.slow_ranks else 1
 
