--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -317,13 +317,14 @@
         self.is_open = True
         self.slow_ranks, self.slow_factor = 0, 1
         self.work = asyncio.Event()
+        self.passes = None  # the task that runs the passes
         self.engines = [Engine(self, rank) for rank in range(self.RANKS)]
 
     async def start(self):
         for engine in self.engines:
             await engine.start()
             await self.store.put("keyed.servers", engine.id, engine.entry())
-        asyncio.get_running_loop().create_task(self.run_passes())
+        self.passes = asyncio.get_running_loop().create_task(self.run_passes())
 
     def service(self):
         """Returns the service as the operator's configuration describes it."""
