--- a/Tests/Soak/limit_soak_run.cxx
+++ b/Tests/Soak/limit_soak_run.cxx
@@ -78,6 +78,7 @@
 {
     this->gateways_.reset();
     this->runtime_.stop();
+    this->runtime_.wait();
 }
 
 void limit_soak_run::run()
--- a/Tests/Soak/prompt_soak_run.cxx
+++ b/Tests/Soak/prompt_soak_run.cxx
@@ -61,6 +61,7 @@
     this->gateways_.reset();
     this->engines_.reset();
     this->runtime_.stop();
+    this->runtime_.wait();
 }
 
 void prompt_soak_run::run()
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -52,6 +52,14 @@
     this->wait_until_ready();
 }
 
+soak_run::~soak_run()
+{
+    this->gateways_.clear();
+    // Timers of the store and the upstreams refer to them.
+    this->runtime_.stop();
+    this->runtime_.wait();
+}
+
 void soak_run::update_configuration()
 {
     ++this->version_;
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -24,6 +24,12 @@
     /// @param restores_store whether the store is also restored from older copies
     soak_run(unsigned seed, const std::string& directory, bool restores_store);
 
+    soak_run(const soak_run&) = delete;
+    soak_run& operator=(const soak_run&) = delete;
+    soak_run(soak_run&&) = delete;
+    soak_run& operator=(soak_run&&) = delete;
+    ~soak_run();
+
     /// Injects faults, then ends them all and checks that the gateways recover.
     /// @param fault_duration time during which new faults start
     void run(std::chrono::seconds fault_duration);
--- a/Tests/Soak/test_restored_process.cxx
+++ b/Tests/Soak/test_restored_process.cxx
@@ -65,6 +65,9 @@
     ~restored_site()
     {
         this->gateways.clear();
+        // Timers of the store and the upstreams refer to them.
+        this->runtime.stop();
+        this->runtime.wait();
         std::error_code ec;
         std::filesystem::remove_all(this->directory, ec);
     }
