--- a/Source/commands/rank_agent_command.cxx
+++ b/Source/commands/rank_agent_command.cxx
@@ -27,7 +27,8 @@
     configure_event_log(log);
     transport::runtime runtime(1);
     platform::lockstep_http_engine engine(runtime, settings.engine_address);
-    const experts::rank_agent agent(runtime, settings.agent_address, engine);
+    const experts::rank_agent agent(runtime, settings.agent_address, engine,
+                                    settings.gateway.limits);
     // The settings of a rank agent cannot change while its machine runs, so a reload has no effect.
     runtime.on_reload_signal([] {});
     runtime.on_termination_signal([&runtime] { runtime.stop(); });
--- a/Source/experts/rank_agent.cxx
+++ b/Source/experts/rank_agent.cxx
@@ -47,11 +47,23 @@
     });
 }
 
+transport::http_server_options make_server_options(const std::string& address,
+                                                   const policy::process_limits& limits)
+{
+    transport::http_server_options options;
+    options.address = address;
+    const auto held = policy::divide(limits, options.max_header_bytes);
+    options.max_connections = held.callers;
+    options.max_request_bytes = held.request_bytes;
+    options.max_reply_bytes = held.reply_bytes;
+    return options;
+}
+
 } // namespace
 
 rank_agent::rank_agent(transport::runtime& context, const std::string& address,
-                       lockstep_engine& engine)
-    : engine_(engine), server_(context, {.address = address},
+                       lockstep_engine& engine, const policy::process_limits& limits)
+    : engine_(engine), server_(context, make_server_options(address, limits),
                                [this](const transport::http_request& message,
                                       const std::shared_ptr<transport::response_stream>& response) {
                                    this->handle(message, response);
--- a/Source/experts/rank_agent.h
+++ b/Source/experts/rank_agent.h
@@ -8,6 +8,7 @@
 #include "base/event_log.h"
 #include "experts/lockstep_engine.h"
 #include "experts/rank_messages.h"
+#include "policy/process_limits.h"
 #include "transport/http_server.h"
 #include "transport/runtime.h"
 
@@ -22,8 +23,10 @@
     /// @param context runs the agent
     /// @param address IP address and port to listen on
     /// @param engine the local engine; must outlive the agent
+    /// @param limits memory and descriptors of this process
     /// @throws error of kind unavailable if the address cannot be bound
-    rank_agent(transport::runtime& context, const std::string& address, lockstep_engine& engine);
+    rank_agent(transport::runtime& context, const std::string& address, lockstep_engine& engine,
+               const policy::process_limits& limits = {});
 
     /// @return the bound IP address and port
     [[nodiscard]] std::string address() const { return this->server_.address(); }
--- a/Source/gateway/caller_protocol.h
+++ b/Source/gateway/caller_protocol.h
@@ -22,6 +22,8 @@
     /// Requests a second that the upstream takes from all gateways together, as a decimal number;
     /// missing if it has no limit.
     std::string rate_limit;
+    std::string leaving;       ///< `1` if the upstream leaves and is to get no more requests
+    std::string cold_time;     ///< how much longer the upstream is cold, in milliseconds
     std::string last_event_id; ///< id of the last event received; resumes a stream after it
 };
 
--- a/Source/gateway/gateway.cxx
+++ b/Source/gateway/gateway.cxx
@@ -145,6 +145,7 @@
 void gateway::tick()
 {
     this->limits_.tick();
+    this->notices_.tick();
     for (const auto& [name, dispatcher] : this->dispatchers_) {
         dispatcher->tick();
     }
@@ -189,7 +190,8 @@
     if (!dispatcher) {
         dispatcher = std::make_shared<service_dispatcher>(
             this->context_, this->clock_, this->options_.protocol, this->metrics_,
-            this->held_bytes_, this->guard_, this->limits_, name,
+            this->held_bytes_, this->guard_, this->limits_, this->notices_,
+            this->options_.cold_start, this->options_.instance, name,
             hash64(name, this->options_.seed));
         dispatcher->set_retry_budget(this->options_.retry_budget, this->gateway_count_);
         dispatcher->set_remote_load(this->remote_load_, this->load_reports_);
--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "gateway/caller_protocol.h"
 #include "gateway/config_state.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/notice_exchange.h"
 #include "gateway/prompt_guard.h"
 #include "gateway/rate_limits.h"
 #include "gateway/request_filters.h"
@@ -35,6 +36,7 @@
     /// would exceed them fails.
     std::size_t max_held_response_bytes = 64U * 1024U * 1024U;
     policy::quarantine_options quarantine;
+    cold_start_bounds cold_start;
 };
 
 /// Routes callers' HTTP requests by host and path to the upstreams of a service. Uses no locks: all
@@ -88,10 +90,14 @@
     /// @return requests that this gateway runs, by upstream key
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> running_by_upstream() const;
 
+    /// @return bytes of upstreams' answers that are not complete yet
+    [[nodiscard]] std::size_t held_answer_bytes() const { return this->held_bytes_.held(); }
+
     [[nodiscard]] std::size_t open_requests() const { return this->open_requests_.size(); }
     [[nodiscard]] gateway_metrics& metrics() { return this->metrics_; }
     [[nodiscard]] prompt_guard& guard() { return this->guard_; }
     [[nodiscard]] rate_limits& limits() { return this->limits_; }
+    [[nodiscard]] notice_exchange& notices() { return this->notices_; }
 
 private:
     std::shared_ptr<service_dispatcher> dispatcher_for(const std::string& name);
@@ -113,6 +119,7 @@
     prompt_guard::quarantine_handler on_quarantined_;
     prompt_guard guard_;
     rate_limits limits_{clock_, metrics_, options_.instance, options_.seed};
+    notice_exchange notices_{clock_, metrics_};
     event_log log_{"gateway"};
     std::mt19937_64 random_;
     std::uint64_t last_request_number_ = 0;
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "base/error.h"
 #include "transport/error_response.h"
@@ -43,13 +44,18 @@
 // callers cache the directory's addresses for a few seconds.
 constexpr auto min_idle_time_before_stop = std::chrono::milliseconds(1500);
 
-// Peers learn after this time that an answer has changed a rate limit. Limits that change together
-// are reported together.
-constexpr auto limit_report_delay = std::chrono::milliseconds(20);
+// Peers learn after this time that an answer has changed a rate limit, or that an upstream leaves.
+// Changes that come together are reported together.
+constexpr auto early_report_delay = std::chrono::milliseconds(20);
 
 // Time from one early report to the next, so that an upstream whose answers differ does not make
 // this gateway send a heartbeat for each of them.
-constexpr auto limit_report_interval = std::chrono::milliseconds(200);
+constexpr auto early_report_interval = std::chrono::milliseconds(200);
+
+// Bodies at the addresses for queries, which have none.
+constexpr std::size_t max_query_bytes = 4U * 1024U;
+// Listeners for readiness, directory, control and metrics share what callers' replies may hold.
+constexpr std::size_t listeners_for_queries = 4;
 
 // Time to send the last bytes of a response.
 constexpr auto flush_time = std::chrono::milliseconds(200);
@@ -79,6 +85,9 @@
     options.instance = settings.instance;
     options.data_centre = settings.data_centre;
     options.retry_budget = settings.retry_budget;
+    options.max_held_response_bytes =
+        policy::divide(settings.limits, model::caller_limits{}.max_header_bytes).answer_bytes;
+    options.cold_start = {settings.cold_overage, settings.cold_slack};
     options.seed = random_number();
     return options;
 }
@@ -142,8 +151,26 @@
     }
 }
 
+transport::http_server_options gateway_process::make_caller_options() const
+{
+    const auto& config = this->config_.active().config;
+    const auto limits = config ? config->limits : model::caller_limits{};
+    const auto held = policy::divide(this->settings_.limits, limits.max_header_bytes);
+    transport::http_server_options options;
+    options.address = this->settings_.caller_address;
+    options.max_header_bytes = limits.max_header_bytes;
+    options.max_body_bytes = limits.max_body_bytes;
+    options.header_timeout = limits.header_timeout;
+    options.idle_timeout = limits.idle_timeout;
+    options.max_connections = held.callers;
+    options.max_request_bytes = held.request_bytes;
+    options.max_reply_bytes = held.reply_bytes;
+    return options;
+}
+
 void gateway_process::open_listener(
     std::unique_ptr<transport::http_server>& server, const std::string& address,
+    std::size_t max_connections,
     std::function<transport::http_response(const transport::http_request&)> make_response)
 {
     if (address.empty()) {
@@ -151,6 +178,12 @@
     }
     transport::http_server_options options;
     options.address = address;
+    options.max_body_bytes = max_query_bytes;
+    options.max_connections = max_connections;
+    options.max_request_bytes = max_connections * max_query_bytes;
+    options.max_reply_bytes =
+        policy::divide(this->settings_.limits, options.max_header_bytes).reply_bytes /
+        listeners_for_queries;
     server = std::make_unique<transport::http_server>(
         this->context_, options,
         [make_response = std::move(make_response)](
@@ -162,24 +195,25 @@
 
 void gateway_process::open_listeners()
 {
-    this->open_listener(this->readiness_server_, this->settings_.readiness_address,
+    const auto held =
+        policy::divide(this->settings_.limits, transport::http_server_options{}.max_header_bytes);
+    this->open_listener(this->readiness_server_, this->settings_.readiness_address, held.operations,
                         [this](const auto&) {
                             return this->is_ready() ? text_response(200, "ready\n")
                                                     : text_response(503, "not ready\n");
                         });
+    this->open_listener(this->directory_server_, this->settings_.directory_address, held.directory,
+                        [this](const auto& request) {
+                            return this->adapter_.make_directory_response(request,
+                                                                          this->ready_gateways());
+                        });
     this->open_listener(
-        this->directory_server_, this->settings_.directory_address, [this](const auto& request) {
-            return this->adapter_.make_directory_response(request, this->ready_gateways());
-        });
-    this->open_listener(
-        this->control_server_, this->settings_.control_address,
+        this->control_server_, this->settings_.control_address, held.operations,
         [this](const auto& request) { return this->make_control_response(request); });
-    this->open_listener(this->metrics_server_, this->settings_.metrics_address,
+    this->open_listener(this->metrics_server_, this->settings_.metrics_address, held.operations,
                         [this](const auto&) { return text_response(200, this->metrics_text()); });
-    transport::http_server_options options;
-    options.address = this->settings_.caller_address;
     this->caller_server_ = std::make_unique<transport::http_server>(
-        this->context_, options,
+        this->context_, this->make_caller_options(),
         [this](const transport::http_request& request,
                const std::shared_ptr<transport::response_stream>& response) {
             this->last_request_at_ = this->clock_.now();
@@ -203,12 +237,17 @@
             heartbeat.running = this->gateway_.running_by_upstream();
             heartbeat.quarantine = this->gateway_.guard().report();
             this->gateway_.limits().fill(heartbeat);
+            this->gateway_.notices().fill(heartbeat);
+            heartbeat.store = this->store_contact_.report();
+            heartbeat.operator_position = this->evacuations_.position();
+            heartbeat.evacuated = this->evacuated_;
         },
         [this](const policy::peer_heartbeat& heartbeat, bool was_silent) {
             this->on_peer_heartbeat(heartbeat, was_silent);
         });
     this->peer_exchange_->add_addresses(this->settings_.seeds);
-    this->gateway_.limits().on_changed([this] { this->report_limits_soon(); });
+    this->gateway_.limits().on_changed([this] { this->report_soon(); });
+    this->gateway_.notices().on_changed([this] { this->report_soon(); });
     this->peer_exchange_->start();
 }
 
@@ -216,29 +255,66 @@
 {
     this->store_ = this->adapter_.make_store_client(this->context_);
     const auto follow = [this](const std::string& topic, auto on_changes, auto on_available) {
-        follower_options options;
-        options.topic = topic;
-        auto follower = std::make_shared<topic_follower>(this->context_, *this->store_, options,
+        auto follower = std::make_shared<topic_follower>(this->context_, *this->store_,
+                                                         this->make_follower_options(topic),
                                                          on_changes, on_available);
         follower->start();
         return follower;
     };
     this->config_follower_ = follow(
         this->adapter_.config_topic,
-        [this](const auto& it, policy::change_origin) { this->on_config_changes(it); },
+        [this](const auto& it, policy::change_origin origin) {
+            this->on_config_changes(it, origin);
+        },
         [](bool) {});
     this->upstream_follower_ = follow(
         this->adapter_.upstreams_topic,
         [this](const auto& it, policy::change_origin origin) {
             this->on_upstream_changes(it, origin);
         },
-        [this](bool available) { this->registry_.on_store(available, this->clock_.now()); });
+        [this](bool available) {
+            this->registry_.on_store(available, this->clock_.now());
+            if (!available) {
+                this->store_contact_.on_failure(this->clock_.now());
+            }
+        });
     this->keep_quarantines();
     this->publish_heartbeat_address();
     this->refresh_peer_addresses();
     this->tick();
 }
 
+follower_options gateway_process::make_follower_options(const std::string& topic)
+{
+    follower_options options;
+    options.topic = topic;
+    options.next_wait = [this](bool after_change) { return this->next_read_wait(after_change); };
+    options.on_overdue = [this] { this->read_all_again(); };
+    if (topic == this->adapter_.upstreams_topic) {
+        options.on_answer = [this] { this->store_contact_.on_answer(this->clock_.now()); };
+    }
+    return options;
+}
+
+duration gateway_process::next_read_wait(bool after_change) const
+{
+    const auto alive = this->peer_exchange_->table().alive_peers(this->clock_.now());
+    const auto lower = std::ranges::count_if(alive, [this](const policy::peer_heartbeat* peer) {
+        return peer->instance < this->settings_.instance;
+    });
+    return policy::read_wait(this->settings_.reads, static_cast<std::size_t>(lower),
+                             alive.size() + 1, after_change);
+}
+
+void gateway_process::read_all_again()
+{
+    for (const auto& follower : {this->config_follower_, this->upstream_follower_}) {
+        if (follower) {
+            follower->read_again();
+        }
+    }
+}
+
 void gateway_process::keep_quarantines()
 {
     const auto lower_peers = [this] {
@@ -301,8 +377,16 @@
     });
 }
 
-void gateway_process::on_config_changes(const std::vector<policy::keyed_record>& changes)
+void gateway_process::on_config_changes(const std::vector<policy::keyed_record>& changes,
+                                        policy::change_origin origin)
 {
+    const auto& prefix = this->adapter_.evacuation_prefix;
+    for (const auto& change : changes) {
+        if (!prefix.empty() && change.key.starts_with(prefix)) {
+            this->on_evacuation(change, origin);
+        }
+    }
+    this->update_evacuations();
     for (const auto& change : changes) {
         if (change.key == this->adapter_.config_key && !change.value.empty()) {
             this->apply_config(change.value, "store");
@@ -310,18 +394,47 @@
     }
 }
 
+void gateway_process::on_evacuation(const policy::keyed_record& change,
+                                    policy::change_origin origin)
+{
+    const auto data_centre = change.key.substr(this->adapter_.evacuation_prefix.size());
+    this->evacuations_.on_record(data_centre, !change.value.empty(), origin, this->clock_.now());
+    const auto upstreams = this->registry_.upstreams();
+    const auto count =
+        std::ranges::count(upstreams, data_centre, &model::upstream_entry::data_centre);
+    // A data centre without upstreams may be unknown, or about to get some.
+    this->log_.note(count == 0 ? log_level::warning : log_level::info, "evacuation",
+                    {{"data_centre", data_centre},
+                     {"asked", !change.value.empty()},
+                     {"offset", static_cast<std::int64_t>(change.offset)},
+                     {"from_restored_copy", origin == policy::change_origin::restored_copy},
+                     {"upstreams", static_cast<std::int64_t>(count)}});
+}
+
+void gateway_process::update_evacuations()
+{
+    if (this->config_follower_) {
+        this->evacuations_.set_position(this->config_follower_->position());
+    }
+    this->evacuations_.expire(this->clock_.now());
+    auto evacuated = this->evacuations_.data_centres();
+    if (evacuated == this->evacuated_) {
+        return;
+    }
+    this->evacuated_ = std::move(evacuated);
+    this->log_.note(
+        log_level::info, "evacuated data centres",
+        {{"data_centres", fmt::format("{}", fmt::join(this->evacuated_, " "))},
+         {"position", static_cast<std::int64_t>(this->evacuations_.position().offset)}});
+    this->update_upstreams();
+}
+
 void gateway_process::apply_config(const std::string& record, std::string_view source)
 {
     if (!this->config_.apply(record, source)) {
         return;
     }
-    const auto& limits = this->config_.active().config->limits;
-    transport::http_server_options options;
-    options.max_header_bytes = limits.max_header_bytes;
-    options.max_body_bytes = limits.max_body_bytes;
-    options.header_timeout = limits.header_timeout;
-    options.idle_timeout = limits.idle_timeout;
-    this->caller_server_->set_limits(options);
+    this->caller_server_->set_limits(this->make_caller_options());
     this->gateway_.apply_config();
     this->update_upstreams();
     this->confirm_config();
@@ -389,7 +502,12 @@
 void gateway_process::update_upstreams()
 {
     const auto upstreams = this->registry_.upstreams();
-    this->gateway_.set_upstreams(upstreams);
+    auto usable = upstreams;
+    for (auto& it : usable) {
+        it.evacuated = std::ranges::binary_search(this->evacuated_, it.data_centre);
+    }
+    this->gateway_.set_upstreams(usable);
+    // The engines of an evacuated data centre stay ranks of their groups.
     if (this->config_.active().config) {
         this->coordination_.update(upstreams, *this->config_.active().config);
     }
@@ -429,6 +547,9 @@
         this->gateway_.guard().merge(*heartbeat.quarantine);
     }
     this->gateway_.limits().on_heartbeat(heartbeat);
+    this->gateway_.notices().on_heartbeat(heartbeat);
+    this->evacuations_.on_peer(heartbeat.operator_position, heartbeat.evacuated);
+    this->update_evacuations();
     const auto now = this->clock_.now();
     const auto alive = this->peer_exchange_->table().alive_peers(now);
     this->update_remote_load(now);
@@ -463,11 +584,11 @@
     }
 }
 
-void gateway_process::report_limits_soon()
+void gateway_process::report_soon()
 {
-    if (!std::exchange(this->is_reporting_limits_, true)) {
-        this->context_.after(limit_report_delay, [this] { this->peer_exchange_->send_now(); });
-        this->context_.after(limit_report_interval, [this] { this->is_reporting_limits_ = false; });
+    if (!std::exchange(this->is_reporting_early_, true)) {
+        this->context_.after(early_report_delay, [this] { this->peer_exchange_->send_now(); });
+        this->context_.after(early_report_interval, [this] { this->is_reporting_early_ = false; });
     }
 }
 
@@ -505,6 +626,8 @@
     }
     this->confirm_config();
     this->rewrite_own_records();
+    this->update_evacuations();
+    this->judge_outage();
     if (this->registry_.expire(this->clock_.now())) {
         this->update_upstreams();
     }
@@ -518,6 +641,24 @@
     this->update_coordinator_role();
 }
 
+void gateway_process::judge_outage()
+{
+    const auto now = this->clock_.now();
+    if (!this->registry_.is_recovering(now)) {
+        return;
+    }
+    const auto& table = this->peer_exchange_->table();
+    std::vector<std::optional<policy::store_report>> reports;
+    for (const auto* peer : table.alive_peers(now)) {
+        reports.push_back(peer->store);
+    }
+    if (this->store_contact_.judge(reports, table.known(), now) == policy::outage_cause::own_path) {
+        this->registry_.on_own_outage();
+        this->log_.note(log_level::info, "store answered others during the outage",
+                        {{"peers", static_cast<std::int64_t>(reports.size())}});
+    }
+}
+
 void gateway_process::measure_loop_delay()
 {
     const auto now = this->clock_.now();
@@ -578,6 +719,18 @@
         static_cast<double>(this->peer_exchange_->table().alive_peers(this->clock_.now()).size()));
     metrics.set("quarantined_parts", {},
                 static_cast<double>(this->gateway_.guard().quarantined().size()));
+    if (this->caller_server_) {
+        const auto usage = this->caller_server_->usage();
+        metrics.set("caller_connections", {}, static_cast<double>(usage.connections));
+        metrics.set("held_bytes", "kind=\"request\"", static_cast<double>(usage.request_bytes));
+        metrics.set("held_bytes", "kind=\"reply\"", static_cast<double>(usage.reply_bytes));
+        metrics.set("held_bytes", "kind=\"answer\"",
+                    static_cast<double>(this->gateway_.held_answer_bytes()));
+        metrics.set("closed_for_new_connections", {},
+                    static_cast<double>(usage.closed_connections));
+        metrics.set("refused_for_memory", {}, static_cast<double>(usage.refused_requests));
+        metrics.set("closed_for_memory", {}, static_cast<double>(usage.closed_replies));
+    }
     for (const auto& follower : {this->config_follower_, this->upstream_follower_}) {
         if (follower) {
             const auto label = fmt::format("topic=\"{}\"", follower->topic());
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -17,6 +17,10 @@
 #include "gateway/quarantine_store.h"
 #include "gateway/topic_follower.h"
 #include "policy/config_confirmation.h"
+#include "policy/evacuations.h"
+#include "policy/process_limits.h"
+#include "policy/read_schedule.h"
+#include "policy/store_contact.h"
 #include "policy/upstream_registry.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -40,6 +44,11 @@
     bool engines_check_tokens = false;
     /// Time from the termination signal until the process is killed.
     duration grace_period = std::chrono::seconds(8);
+    /// How the reads of all gateways are spread over time.
+    policy::read_schedule_options reads;
+    double cold_overage = 1;       ///< see policy::cold_start_limits
+    double cold_slack = 0;         ///< see policy::cold_start_limits
+    policy::process_limits limits; ///< memory and descriptors of this process
     /// How the list of upstreams behaves after an outage or a restore of the store.
     policy::registry_options upstreams;
 };
@@ -55,6 +64,8 @@
     caller_protocol protocol;
     std::string config_topic;
     std::string config_key;
+    /// Keys of the configuration topic that begin with this name a data centre to be evacuated.
+    std::string evacuation_prefix;
     std::string upstreams_topic;
     std::string gateways_topic;     ///< heartbeat addresses, written by the gateways
     std::string quarantine_topic;   ///< quarantined parts of prompts, written by the gateways
@@ -108,15 +119,32 @@
     /// Lists the gateways' topic regularly and sends heartbeats to the addresses in it.
     void refresh_peer_addresses();
     void keep_quarantines();
-    void on_config_changes(const std::vector<policy::keyed_record>& changes);
+    /// @return options of a follower of a topic
+    [[nodiscard]] follower_options make_follower_options(const std::string& topic);
+
+    /// @param after_change whether the last read returned records
+    /// @return how long the next read of a topic waits for a record
+    [[nodiscard]] duration next_read_wait(bool after_change) const;
+
+    /// Reads all topics again, because connections to the store may have gone silent.
+    void read_all_again();
+    void on_config_changes(const std::vector<policy::keyed_record>& changes,
+                           policy::change_origin origin);
+    void on_evacuation(const policy::keyed_record& change, policy::change_origin origin);
+
+    /// Applies the evacuations that are in force to the upstreams if they have changed.
+    void update_evacuations();
+
+    /// Decides whether entries were removed by an outage of the store or by their upstreams.
+    void judge_outage();
     void on_upstream_changes(const std::vector<policy::keyed_record>& changes,
                              policy::change_origin origin);
 
     /// Updates the load of other gateways, and catches up if one has newer data.
     void on_peer_heartbeat(const policy::peer_heartbeat& heartbeat, bool was_silent);
 
-    /// Sends a heartbeat soon, because a rate limit has changed.
-    void report_limits_soon();
+    /// Sends a heartbeat soon, because an answer has changed what is known of an upstream.
+    void report_soon();
 
     /// Fetches a newer configuration from another gateway, in case the store does not answer.
     void fetch_config(const std::string& control_address);
@@ -152,8 +180,13 @@
     [[nodiscard]] std::vector<directory_entry> ready_gateways() const;
     transport::http_response make_control_response(const transport::http_request& request);
     std::string metrics_text();
+    /// @return limits of the callers' listener with the active configuration
+    [[nodiscard]] transport::http_server_options make_caller_options() const;
+
+    /// @param max_connections connections that the listener accepts
     void open_listener(
         std::unique_ptr<transport::http_server>& server, const std::string& address,
+        std::size_t max_connections,
         std::function<transport::http_response(const transport::http_request&)> make_response);
 
     gateway_settings settings_;
@@ -165,6 +198,9 @@
     config_state config_;
     gateway gateway_;
     policy::upstream_registry registry_;
+    policy::store_contact store_contact_;
+    policy::evacuations evacuations_;
+    std::vector<std::string> evacuated_; ///< data centres whose evacuation is applied
     std::optional<policy::config_confirmation> confirmation_; ///< empty once it was confirmed
     experts::group_coordination coordination_;
     std::shared_ptr<peer_exchange> peer_exchange_;
@@ -192,7 +228,7 @@
     std::optional<time_point> peer_ahead_since_;
     bool is_fetching_config_ = false;
     bool is_draining_ = false;
-    bool is_reporting_limits_ = false; ///< an early heartbeat about rate limits is due, or was sent
+    bool is_reporting_early_ = false; ///< an early heartbeat is due, or was sent a moment ago
 };
 
 } // namespace medlaryoke::gateway
--- a/Source/gateway/keyed_log.h
+++ b/Source/gateway/keyed_log.h
@@ -57,6 +57,10 @@
     virtual void read(const std::string& topic, std::uint64_t from, duration wait,
                       std::function<void(keyed_result)> done) = 0;
 
+    /// Uses new connections for later calls, because the open ones may have gone silent. Calls in
+    /// progress go on.
+    virtual void renew_connections() {}
+
     /// Appends a record, which becomes the newest of its key.
     /// @param topic name of the topic
     /// @param key at most 255 bytes
--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -18,6 +18,22 @@
 // Characters of an address that cannot be read which are written to the log.
 constexpr std::size_t max_logged_address = 40;
 
+// Larger ages are sent, and taken, as this one.
+constexpr std::chrono::milliseconds max_age = std::chrono::hours(24);
+
+std::uint64_t to_age(time_point at, time_point now)
+{
+    const auto age = std::clamp<duration>(now - at, duration::zero(), max_age);
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+}
+
+time_point from_age(std::uint64_t age_ms, time_point now)
+{
+    return now -
+           std::chrono::milliseconds(std::min(age_ms, static_cast<std::uint64_t>(max_age.count())));
+}
+
 std::string encode(const policy::peer_heartbeat& heartbeat,
                    const std::vector<std::string>& live_addresses, time_point now)
 {
@@ -44,6 +60,20 @@
         write_report(*heartbeat.quarantine, message);
     }
     write_rate_limits(heartbeat, now, message);
+    for (const auto upstream : heartbeat.leaving) {
+        message.add_leaving(upstream);
+    }
+    if (heartbeat.store) {
+        auto& store = *message.mutable_store();
+        store.set_since_ago_ms(to_age(heartbeat.store->answering_since, now));
+        store.set_answered_ago_ms(to_age(heartbeat.store->answered_at, now));
+        store.set_had_failure(heartbeat.store->had_failure);
+    }
+    message.set_operator_epoch(heartbeat.operator_position.epoch);
+    message.set_operator_position(heartbeat.operator_position.offset);
+    for (const auto& data_centre : heartbeat.evacuated) {
+        message.add_evacuated(data_centre);
+    }
     return message.SerializeAsString();
 }
 
@@ -78,6 +108,14 @@
     }
     heartbeat.live_addresses = {message.known_address().begin(), message.known_address().end()};
     read_rate_limits(message, now, heartbeat);
+    heartbeat.leaving = {message.leaving().begin(), message.leaving().end()};
+    if (message.has_store()) {
+        heartbeat.store = policy::store_report{from_age(message.store().since_ago_ms(), now),
+                                               from_age(message.store().answered_ago_ms(), now),
+                                               message.store().had_failure()};
+    }
+    heartbeat.operator_position = {message.operator_epoch(), message.operator_position()};
+    heartbeat.evacuated = {message.evacuated().begin(), message.evacuated().end()};
     return heartbeat;
 }
 
--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -1,6 +1,7 @@
 #include "gateway/proxied_request.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -58,6 +59,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
 
+/// @return a time in whole milliseconds; empty if the text is none, or of more than an hour
+std::optional<duration> parse_milliseconds(std::string_view text)
+{
+    constexpr std::uint32_t most = 3600000;
+    std::uint32_t value = 0;
+    const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return ec == std::errc() && end == text.data() + text.size() && value <= most
+               ? std::optional<duration>(std::chrono::milliseconds(value))
+               : std::nullopt;
+}
+
 /// Removes the hop-by-hop headers of an upstream's response.
 transport::http_head without_connection_headers(transport::http_head head)
 {
@@ -168,6 +180,7 @@
     const bool is_signed =
         !transport::find_header(head.headers, this->dispatcher_->protocol().signature).empty();
     this->read_rate_limit(head, is_signed);
+    this->read_notices(head);
     const bool is_encoded = !transport::find_header(head.headers, "Content-Encoding").empty();
     if (is_success(head.status) && (!is_signed || is_encoded)) {
         // Cancelled before the end of the body, so that the connection is not reused.
@@ -188,6 +201,26 @@
     }
 }
 
+void proxied_request::read_notices(const transport::http_head& head)
+{
+    if (head.status == misdirected_status) {
+        return; // another process answers at a reused address
+    }
+    const auto& target = this->attempt_->target;
+    auto& notices = this->dispatcher_->notices();
+    if (transport::find_header(head.headers, this->dispatcher_->protocol().leaving) == "1") {
+        notices.on_leaving_answer(target.incarnation, target.id);
+    }
+    if (const auto cold_time = parse_milliseconds(
+            transport::find_header(head.headers, this->dispatcher_->protocol().cold_time))) {
+        this->dispatcher_->on_cold(target.incarnation, *cold_time);
+    }
+    const auto retry_after = transport::find_header(head.headers, "Retry-After");
+    if (head.status == unavailable_status && !retry_after.empty()) {
+        notices.on_refusing_answer(target.incarnation, target.id, retry_after);
+    }
+}
+
 void proxied_request::on_data(const std::string& data)
 {
     auto& it = *this->attempt_;
@@ -536,9 +569,12 @@
 
 void proxied_request::respond_not_run(std::string_view reason)
 {
+    this->dispatcher_->on_refused(this->details_.id);
     const auto time_left = this->details_.deadline - this->dispatcher_->clock().now();
     const auto refused_for = this->dispatcher_->guard().refused_for(this->details_.shared_parts);
-    const auto wait = refused_for.value_or(this->dispatcher_->wait_policy().retry_after(time_left));
+    const auto pause = this->dispatcher_->scheduler().pause_left(this->dispatcher_->clock().now());
+    const auto wait = refused_for.value_or(
+        std::max(this->dispatcher_->wait_policy().retry_after(time_left), pause));
     auto response =
         transport::make_error_response(error(error_kind::not_run, std::string(reason),
                                              "Retry the request after the time in Retry-After."));
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -81,6 +81,8 @@
     void on_head(const transport::http_head& head);
     /// @param is_signed whether the upstream itself wrote the response
     void read_rate_limit(const transport::http_head& head, bool is_signed);
+    /// Reads whether the upstream leaves or wants no requests for a time.
+    void read_notices(const transport::http_head& head);
     void on_data(const std::string& data);
     void on_end();
     void on_failure(const transport::http_failure& failure);
--- a/Source/gateway/topic_follower.cxx
+++ b/Source/gateway/topic_follower.cxx
@@ -31,34 +31,88 @@
                      {"peer_position", static_cast<std::int64_t>(position.offset)},
                      {"store_epoch", static_cast<std::int64_t>(this->store_epoch_)},
                      {"peer_epoch", static_cast<std::int64_t>(position.epoch)}});
-    this->start_read();
+    this->store_.renew_connections();
+    this->read_again();
+}
+
+void topic_follower::read_again()
+{
+    // One read beside the pending one is enough; its own timeout bounds it.
+    constexpr std::size_t max_pending_reads = 2;
+    if (this->needs_listing_ || this->pending_reads_.empty() ||
+        this->pending_reads_.size() >= max_pending_reads) {
+        return;
+    }
+    this->add_read(duration::zero());
 }
 
 void topic_follower::start_read()
 {
+    this->pending_reads_.clear();
+    this->overdue_timer_.cancel();
     this->read_started_at_ = std::chrono::steady_clock::now();
-    const auto done = [self = this->shared_from_this(), read_id = ++this->read_id_](
-                          const keyed_result& result) { self->on_result(read_id, result); };
+    // During an outage a read does not wait for a record, so that the end of the outage is
+    // detected at once: entries removed soon after it are treated as expired by the outage.
+    const auto wait = !this->is_available_       ? duration::zero()
+                      : this->options_.next_wait ? this->options_.next_wait(this->has_changed_)
+                                                 : this->options_.read_wait;
+    this->has_changed_ = false;
+    this->add_read(wait);
+    if (!this->needs_listing_ && this->is_available_) {
+        this->overdue_timer_ =
+            this->context_.after(wait + this->options_.overdue_after,
+                                 [self = this->shared_from_this(), read_id = this->read_id_] {
+                                     self->check_overdue(read_id);
+                                 });
+    }
+}
+
+void topic_follower::add_read(duration wait)
+{
+    const auto read_id = ++this->read_id_;
+    this->pending_reads_.push_back(read_id);
+    const auto done = [self = this->shared_from_this(), read_id](const keyed_result& result) {
+        self->on_result(read_id, result);
+    };
     if (this->needs_listing_) {
         this->store_.list(this->options_.topic, done);
     }
     else {
-        // During an outage a read does not wait for a record, so that the end of the outage is
-        // detected at once: entries removed soon after it are treated as expired by the outage.
-        const auto wait = this->is_available_ ? this->options_.read_wait : duration::zero();
         this->store_.read(this->options_.topic, this->topic_.position().offset, wait, done);
     }
 }
 
+void topic_follower::check_overdue(std::uint64_t read_id)
+{
+    if (this->pending_reads_.empty() || this->pending_reads_.front() != read_id) {
+        return;
+    }
+    this->log_.sample(log_level::info, "answer of the store is overdue, read again",
+                      {{"topic", this->options_.topic},
+                       {"position", static_cast<std::int64_t>(this->topic_.position().offset)}});
+    this->store_.renew_connections();
+    this->read_again();
+    if (this->options_.on_overdue) {
+        this->options_.on_overdue();
+    }
+}
+
 void topic_follower::on_result(std::uint64_t read_id, const keyed_result& result)
 {
-    if (read_id != this->read_id_) {
+    if (std::erase(this->pending_reads_, read_id) == 0) {
         return;
     }
     if (const auto* failure = std::get_if<keyed_unavailable>(&result)) {
-        this->on_failure(failure->reason);
+        if (this->pending_reads_.empty()) {
+            this->on_failure(failure->reason);
+        }
         return;
     }
+    this->pending_reads_.clear();
+    this->overdue_timer_.cancel();
+    if (this->options_.on_answer) {
+        this->options_.on_answer();
+    }
     this->set_available(true, {});
     this->backoff_ = this->options_.initial_backoff;
     if (const auto* expired = std::get_if<keyed_expired>(&result)) {
@@ -102,6 +156,7 @@
              {"position_before", static_cast<std::int64_t>(position.offset)},
              {"store_epoch", static_cast<std::int64_t>(page.epoch)}});
     }
+    this->has_changed_ = !page.records.empty();
     const bool first = !std::exchange(this->is_listed_, true);
     const bool is_restored = !first && page.epoch != position.epoch;
     if (first || is_restored || !changes.empty()) {
@@ -140,6 +195,7 @@
 
 void topic_follower::on_failure(const std::string& reason)
 {
+    this->overdue_timer_.cancel();
     this->set_available(false, reason);
     this->start_read_after(this->backoff_);
     this->backoff_ = std::min(this->backoff_ * 2, this->options_.max_backoff);
--- a/Source/gateway/topic_follower.h
+++ b/Source/gateway/topic_follower.h
@@ -16,10 +16,17 @@
 
 struct follower_options {
     std::string topic;
-    /// Time that one read waits for a record. A longer wait needs fewer calls, but a store that
-    /// went silent is noticed only after this time and the timeout of the response. A new
-    /// configuration has to be active within 2 s after a fault has ended, plus 3 s of tolerance.
+    /// Time that one read waits for a record if `next_wait` is empty.
     duration read_wait = std::chrono::seconds(3);
+    /// Chooses the time that the next read waits for a record; see policy::read_wait.
+    std::function<duration(bool after_change)> next_wait;
+    /// Time after which the answer to a read is overdue, beside the time that the read waits. The
+    /// store answers within some milliseconds; the connection may have gone silent.
+    duration overdue_after = std::chrono::milliseconds(400);
+    /// Called when an answer is overdue. Other connections may have gone silent too.
+    std::function<void()> on_overdue;
+    /// Called for each answer of the store.
+    std::function<void()> on_answer;
     duration initial_backoff = std::chrono::milliseconds(200);
     /// Upper bound of the backoff: after an outage of the store, reads resume within this time.
     duration max_backoff = std::chrono::milliseconds(800);
@@ -48,10 +55,14 @@
 
     void start();
 
-    /// Replaces the pending read by a new one if a peer has read further.
+    /// Reads again on a new connection if a peer has read further.
     /// @param position how far the peer has read
     void catch_up(policy::log_position position);
 
+    /// Reads again without waiting for a record, beside the pending read, whose connection may have
+    /// gone silent.
+    void read_again();
+
     [[nodiscard]] const std::string& topic() const { return this->options_.topic; }
 
     /// @return epoch of the last listing and offset after the last record that was read
@@ -70,7 +81,12 @@
     [[nodiscard]] std::uint64_t ignored_records() const { return this->topic_.ignored_records(); }
 
 private:
+    /// Starts a read that replaces earlier ones.
     void start_read();
+    /// Starts a read.
+    /// @param wait how long it waits for a record; ignored for a listing
+    void add_read(duration wait);
+    void check_overdue(std::uint64_t read_id);
     void on_result(std::uint64_t read_id, const keyed_result& result);
     void on_page(const keyed_records& page);
     void on_store_epoch(std::uint64_t epoch);
@@ -88,7 +104,11 @@
     availability_handler on_available_;
     policy::keyed_topic topic_;
     event_log log_{"topic"};
-    std::uint64_t read_id_ = 0; ///< of the pending read; results of earlier reads are ignored
+    std::uint64_t read_id_ = 0; ///< of the last read that was started
+    /// Reads whose result is awaited; the first answer ends them all.
+    std::vector<std::uint64_t> pending_reads_;
+    transport::timer_handle overdue_timer_;
+    bool has_changed_ = false; ///< the last read returned records
     std::uint64_t store_epoch_ = 0;
     std::uint64_t listings_ = 0;
     bool is_listed_ = false;
--- a/Source/model/route_config.h
+++ b/Source/model/route_config.h
@@ -68,7 +68,9 @@
 /// A group of upstreams that serve the same requests.
 struct routed_service {
     std::string name;
-    std::size_t max_connections = 0; ///< limit of an upstream over all its clients; 0: unknown
+    std::size_t max_connections = 0;     ///< limit of an upstream over all its clients; 0: unknown
+    double cold_requests_per_second = 0; ///< what a cold upstream bears; 0: no limit
+    duration cold_time{};                ///< how long an upstream is cold after its start
     std::optional<engine_pace> engine;
     std::optional<expert_layout> experts; ///< set for engines in lock-step groups
 };
--- a/Source/model/upstream_entry.h
+++ b/Source/model/upstream_entry.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "base/clock.h"
 #include "base/digest.h"
 
 namespace medlaryoke::model {
@@ -27,6 +28,8 @@
     std::string data_centre;
     unsigned slots = 1;          ///< number of requests that it serves concurrently
     bool draining = false;       ///< receives no new requests
+    bool evacuated = false;      ///< its data centre is evacuated; it receives no new requests
+    duration cold_time{};        ///< how much longer it is cold, as of its last record
     std::int64_t started_at = 0; ///< Unix milliseconds by the upstream's clock; to compare only
     std::optional<group_membership> group;
 
--- a/Source/policy/outlier_detector.cxx
+++ b/Source/policy/outlier_detector.cxx
@@ -83,6 +83,17 @@
     return true;
 }
 
+void outlier_detector::on_tick(time_point now)
+{
+    for (auto& [id, it] : this->states_) {
+        if (it.ejected && !it.probing && now - it.next_probe >= this->options_.max_wait_for_probe) {
+            it = upstream_state{.ejection_length = it.ejection_length,
+                                .consecutive_failures = this->options_.consecutive_failures - 1,
+                                .window_start = now};
+        }
+    }
+}
+
 std::size_t outlier_detector::ejected_count() const
 {
     return static_cast<std::size_t>(
--- a/Source/policy/outlier_detector.h
+++ b/Source/policy/outlier_detector.h
@@ -24,6 +24,9 @@
     /// within 10 s.
     duration max_ejection = std::chrono::seconds(2);
     unsigned required_probe_successes = 2; ///< successful probes that end an ejection
+    /// Time after which an upstream returns although no request could probe it, such as one of a
+    /// service whose requests must not be repeated. Its next failure ejects it again.
+    duration max_wait_for_probe = std::chrono::seconds(5);
 };
 
 /// Ejects failing upstreams from the rotation, probes them and returns them once they succeed.
@@ -53,6 +56,10 @@
     /// @return whether one request may be sent as a probe; if so, on_result() must be called for it
     bool try_probe(std::uint64_t upstream, time_point now);
 
+    /// Returns the upstreams that have waited for a probe for too long.
+    /// @param now the current time
+    void on_tick(time_point now);
+
     /// @return number of ejected upstreams
     [[nodiscard]] std::size_t ejected_count() const;
 
--- a/Source/policy/peer_table.cxx
+++ b/Source/policy/peer_table.cxx
@@ -38,6 +38,7 @@
     it.heartbeat.quarantine.reset();
     it.heartbeat.limits.clear();
     it.heartbeat.permits.clear();
+    it.heartbeat.leaving.clear();
 }
 
 void peer_table::on_tick(time_point now)
--- a/Source/policy/peer_table.h
+++ b/Source/policy/peer_table.h
@@ -12,6 +12,7 @@
 #include "policy/log_position.h"
 #include "policy/prompt_quarantine.h"
 #include "policy/shared_rate_limits.h"
+#include "policy/store_contact.h"
 
 namespace medlaryoke::policy {
 
@@ -34,6 +35,10 @@
     std::vector<rate_limit_statement> limits; ///< what it reports of rate limits
     std::vector<rate_permit> permits;         ///< issued since its last heartbeat
     service_demand demand;                    ///< for services with limited upstreams
+    std::optional<store_report> store;        ///< empty if the store does not answer the gateway
+    log_position operator_position;           ///< how far it has read what the operator wrote
+    std::vector<std::string> evacuated;       ///< data centres that it evacuates
+    std::vector<std::uint64_t> leaving;       ///< listed upstreams that have said that they leave
 };
 
 /// Timeouts of a peer_table.
--- a/Source/policy/step_time_limit.cxx
+++ b/Source/policy/step_time_limit.cxx
@@ -38,6 +38,7 @@
         return;
     }
     this->rank_count_ = ranks;
+    this->last_gap_at_ = now;
     if (!this->gaps_ms_.empty() && now - this->window_start_ >= this->options_.window) {
         this->end_window();
     }
@@ -68,6 +69,17 @@
     this->running_sum_ = 0;
 }
 
+bool step_time_limit::on_tick(time_point now)
+{
+    if (this->work_factor_ <= 1 || now - this->last_gap_at_ < this->options_.memory) {
+        return false;
+    }
+    this->work_factor_ = 1;
+    this->gaps_ms_.clear();
+    this->running_sum_ = 0;
+    return true;
+}
+
 double step_time_limit::run_limit() const
 {
     if (!this->is_limited()) {
--- a/Source/policy/step_time_limit.h
+++ b/Source/policy/step_time_limit.h
@@ -30,6 +30,9 @@
     double balanced_decode_fraction = 0.23;
     double min_running = 2;     ///< lower bound of run_limit()
     double max_work_factor = 5; ///< larger estimates are caused by stalls, not by skew
+    /// Time without an event after which the work factor is forgotten. Callers leave a stream that
+    /// pauses for two seconds, so none of the streams that it was measured on runs any more.
+    duration memory = std::chrono::seconds(2);
 };
 
 /// Limits the running requests and the prefill work of a lock-step group, so that the predicted
@@ -55,6 +58,12 @@
     /// @param now the current time
     void on_gap(duration gap, double running, std::size_t ranks, time_point now);
 
+    /// Forgets the work factor if no event has come for the time that it is remembered. Without
+    /// events it could not change any more, and a limit that admits no request would bring none.
+    /// @param now the current time
+    /// @return whether it was forgotten
+    bool on_tick(time_point now);
+
     /// @return mean number of requests that an engine may run; infinity if unlimited
     [[nodiscard]] double run_limit() const;
 
@@ -79,6 +88,7 @@
     double work_factor_ = 1;
     std::size_t rank_count_ = 1;
     time_point window_start_{};
+    time_point last_gap_at_{};
     std::vector<double> gaps_ms_;
     double running_sum_ = 0;
 };
--- a/Source/policy/upstream_registry.cxx
+++ b/Source/policy/upstream_registry.cxx
@@ -66,6 +66,7 @@
 {
     if (available && !this->store_available_) {
         this->outage_end_ = now;
+        this->restored_ = false;
     }
     this->store_available_ = available;
 }
--- a/Source/policy/upstream_registry.h
+++ b/Source/policy/upstream_registry.h
@@ -53,9 +53,25 @@
     /// @param now the current time
     void on_store(bool available, time_point now);
 
+    /// Records that the last outage was one of the own path to the store: entries that were removed
+    /// around it have left.
+    void on_own_outage() { this->outage_end_.reset(); }
+
+    /// @param now the current time
+    /// @return whether the store answers again and entries are kept that were removed around its
+    /// last outage
+    [[nodiscard]] bool is_recovering(time_point now) const
+    {
+        return this->store_available_ && this->is_in_outage_or_recovery(now) && !this->restored_;
+    }
+
     /// Records that the store was restored from an older copy, which begins a recovery period.
     /// @param now the current time
-    void on_restored(time_point now) { this->outage_end_ = now; }
+    void on_restored(time_point now)
+    {
+        this->outage_end_ = now;
+        this->restored_ = true;
+    }
 
     /// Removes upstreams whose entries were not renewed by the end of the recovery period, and adds
     /// those that a restored store still lists.
@@ -88,6 +104,7 @@
 
     registry_options options_;
     bool store_available_ = true;
+    bool restored_ = false;                ///< the recovery period follows a restore
     std::optional<time_point> outage_end_; ///< of the last outage; empty if there was none
     std::map<std::string, member> members_;
     std::map<std::string, departure> departed_; ///< by id
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -155,7 +155,8 @@
         }
         // Without capacity for this priority there is none for less urgent ones either. With
         // capacity, a later request with a shorter prompt may still fit.
-        if (!this->has_capacity(it->priority) && !this->has_permit(now)) {
+        if (!this->has_capacity(it->priority, now) && !this->has_idle_upstream(it->priority, now) &&
+            !this->has_permit(now)) {
             break;
         }
         ++it;
@@ -166,7 +167,8 @@
 std::optional<assignment> upstream_scheduler::take_credited(double median, time_point now)
 {
     constexpr unsigned most_urgent = 0;
-    if (!this->has_capacity(most_urgent) && !this->has_permit(now)) {
+    if (!this->has_capacity(most_urgent, now) && !this->has_idle_upstream(most_urgent, now) &&
+        !this->has_permit(now)) {
         return std::nullopt;
     }
     for (auto it = this->waiting_.begin(); it != this->waiting_.end(); ++it) {
@@ -197,6 +199,9 @@
     if (this->rate_limits_ != nullptr) {
         this->rate_limits_->on_sent(target.incarnation, now);
     }
+    if (this->cold_ != nullptr) {
+        this->cold_->on_sent(target.incarnation, now);
+    }
     target.prefilling_tokens += request.prompt_tokens;
     std::set<unsigned> passed_over;
     for (const auto& it : this->waiting_) {
@@ -212,6 +217,8 @@
 
 std::vector<std::uint64_t> upstream_scheduler::take_expired(time_point now)
 {
+    this->outliers_.on_tick(now);
+    const bool is_evacuated = this->is_evacuated();
     const auto rate = this->completion_rate(now);
     std::vector<std::uint64_t> expired;
     std::size_t ahead = 0;
@@ -221,7 +228,8 @@
                                                  limits->per_second)
                           : rate > 0 ? time_to_admit(static_cast<double>(ahead), rate)
                                      : duration::zero();
-        if (now + wait < it.wait_until) {
+        const auto first = std::max(now + wait, this->first_use(it, now));
+        if (first < it.wait_until && !is_evacuated) {
             ++ahead;
             return false;
         }
@@ -293,13 +301,13 @@
 bool upstream_scheduler::is_usable(std::uint64_t upstream) const
 {
     const auto found = this->upstreams_.find(upstream);
-    return found != this->upstreams_.end() && found->second.accepts_requests();
+    return found != this->upstreams_.end() && this->accepts_requests(found->second);
 }
 
 bool upstream_scheduler::has_alternative(const std::vector<std::uint64_t>& excluded) const
 {
-    return std::ranges::any_of(this->upstreams_, [&excluded](const auto& it) {
-        return it.second.accepts_requests() &&
+    return std::ranges::any_of(this->upstreams_, [this, &excluded](const auto& it) {
+        return this->accepts_requests(it.second) &&
                std::ranges::find(excluded, it.first) == excluded.end();
     });
 }
@@ -338,7 +346,7 @@
     for (const auto& [id, it] : this->upstreams_) {
         // An upstream at its rate limit runs few requests, and doesn't show what the others bear.
         if (!any_unlimited || !this->is_limited(it)) {
-            sum += it.own_running + it.remote_running;
+            sum += it.running();
             count += it.listed ? 1 : 0;
         }
     }
@@ -352,6 +360,9 @@
 
 bool upstream_scheduler::is_permitted(const upstream_state& it, time_point now) const
 {
+    if (this->cold_ != nullptr && !this->cold_->permits(it.incarnation, now)) {
+        return false;
+    }
     return !this->is_limited(it) || this->rate_limits_->permits(it.incarnation, now) > 0;
 }
 
@@ -359,7 +370,7 @@
 {
     return this->rate_limits_ != nullptr && this->rate_limits_->has_limits() &&
            std::ranges::any_of(this->upstreams_, [this, now](const auto& it) {
-               return it.second.accepts_requests() && this->is_limited(it.second) &&
+               return this->accepts_requests(it.second) && this->is_limited(it.second) &&
                       this->is_permitted(it.second, now);
            });
 }
@@ -372,7 +383,7 @@
     }
     std::optional<limited_service> limits;
     for (const auto& [id, it] : this->upstreams_) {
-        if (!it.accepts_requests() || this->outliers_.is_ejected(id) ||
+        if (!this->accepts_requests(it) || this->outliers_.is_ejected(id) ||
             std::ranges::find(request.excluded, id) != request.excluded.end()) {
             continue;
         }
@@ -386,22 +397,79 @@
     return limits;
 }
 
-bool upstream_scheduler::has_capacity(unsigned priority) const
+bool upstream_scheduler::has_capacity(unsigned priority, time_point now) const
+{
+    return this->has_capacity(priority, this->max_mean_running_, now);
+}
+
+bool upstream_scheduler::has_idle_upstream(unsigned priority, time_point now) const
+{
+    const bool is_any_idle = std::ranges::any_of(this->upstreams_, [this, now](const auto& it) {
+        return it.second.running() == 0 && this->accepts_requests(it.second) &&
+               !this->paused_until(it.second, now);
+    });
+    return is_any_idle &&
+           this->has_capacity(priority, std::numeric_limits<double>::infinity(), now);
+}
+
+bool upstream_scheduler::has_capacity(unsigned priority, double per_upstream, time_point now) const
 {
     const auto& fractions = this->options_.capacity_fraction_by_priority;
     const auto fraction = fractions[std::min<std::size_t>(priority, fractions.size() - 1)];
     double capacity = 0;
     double running = 0;
     for (const auto& [id, it] : this->upstreams_) {
-        // What a limited upstream may not take is not left to the others.
-        if (it.accepts_requests() && !this->is_limited(it)) {
-            capacity += std::min(this->max_mean_running_, static_cast<double>(it.entry.slots));
-            running += it.own_running + it.remote_running;
+        // What a limited or pausing upstream may not take is not left to the others.
+        if (this->accepts_requests(it) && !this->is_limited(it) && !this->paused_until(it, now)) {
+            capacity += std::min(per_upstream, static_cast<double>(it.entry.slots));
+            running += it.running();
         }
     }
     return running < fraction * capacity;
 }
 
+bool upstream_scheduler::is_evacuated() const
+{
+    return this->listed_count() > 0 && std::ranges::all_of(this->upstreams_, [](const auto& it) {
+               return !it.second.listed || it.second.entry.evacuated;
+           });
+}
+
+bool upstream_scheduler::accepts_requests(const upstream_state& it) const
+{
+    return it.listed && !it.entry.draining && !it.entry.evacuated &&
+           (this->notices_ == nullptr || !this->notices_->is_leaving(it.incarnation));
+}
+
+std::optional<time_point> upstream_scheduler::paused_until(const upstream_state& it,
+                                                           time_point now) const
+{
+    return this->notices_ == nullptr ? std::nullopt
+                                     : this->notices_->paused_until(it.incarnation, now);
+}
+
+time_point upstream_scheduler::first_use(const scheduled_request& request, time_point now) const
+{
+    std::optional<time_point> first;
+    for (const auto& [id, it] : this->upstreams_) {
+        if (!this->accepts_requests(it) ||
+            std::ranges::find(request.excluded, id) != request.excluded.end()) {
+            continue;
+        }
+        const auto until = this->paused_until(it, now);
+        if (!until) {
+            return now;
+        }
+        first = std::min(first.value_or(*until), *until);
+    }
+    return first.value_or(now);
+}
+
+duration upstream_scheduler::pause_left(time_point now) const
+{
+    return this->first_use({}, now) - now;
+}
+
 double upstream_scheduler::completion_rate(time_point now) const
 {
     const auto recent = std::ranges::count_if(this->completion_times_, [now](time_point at) {
@@ -416,9 +484,11 @@
 {
     const auto limit =
         std::min(static_cast<double>(it.entry.slots), std::ceil(this->max_mean_running_));
-    return it.accepts_requests() && it.backoff_until <= now && this->is_permitted(it, now) &&
-           it.own_running + it.remote_running < limit &&
-           it.prefilling_tokens + request.prompt_tokens <= this->max_prefill_tokens_ &&
+    const bool is_within_limits =
+        it.running() < limit &&
+        it.prefilling_tokens + request.prompt_tokens <= this->max_prefill_tokens_;
+    return this->accepts_requests(it) && it.backoff_until <= now && !this->paused_until(it, now) &&
+           this->is_permitted(it, now) && (it.running() == 0 || is_within_limits) &&
            !this->outliers_.is_ejected(id) &&
            std::ranges::find(request.excluded, id) == request.excluded.end();
 }
@@ -442,8 +512,7 @@
 double upstream_scheduler::score(const upstream_state& it, double median, time_point now) const
 {
     const auto load =
-        static_cast<double>(it.own_running + it.remote_running) + 1 +
-        it.prefilling_tokens / prefill_tokens_per_request -
+        static_cast<double>(it.running()) + 1 + it.prefilling_tokens / prefill_tokens_per_request -
         (it.entry.data_centre == this->own_data_centre_ ? local_data_centre_bonus : 0);
     const bool known =
         it.latency_ms > 0 && now - it.latency_measured_at < this->options_.latency_max_age;
@@ -464,10 +533,12 @@
                                                                  unsigned priority)
 {
     std::vector<candidate_upstream> candidates;
-    const bool has_capacity = this->has_capacity(priority);
+    const bool has_capacity = this->has_capacity(priority, now);
+    const bool takes_idle = has_capacity || this->has_idle_upstream(priority, now);
     for (const auto& [id, it] : this->upstreams_) {
         // Permits are issued for single requests, so none of them is kept for urgent ones.
-        const bool is_free = this->is_limited(it) || has_capacity;
+        const bool is_free =
+            this->is_limited(it) || has_capacity || (takes_idle && it.running() == 0);
         if (!is_free || !this->can_accept(id, it, request, now)) {
             continue;
         }
@@ -498,8 +569,8 @@
         return std::nullopt;
     }
     for (const auto& [id, it] : this->upstreams_) {
-        if (it.accepts_requests() && this->outliers_.is_ejected(id) &&
-            this->is_permitted(it, now) &&
+        if (this->accepts_requests(it) && this->outliers_.is_ejected(id) &&
+            this->is_permitted(it, now) && !this->paused_until(it, now) &&
             std::ranges::find(request.excluded, id) == request.excluded.end() &&
             this->outliers_.try_probe(id, now)) {
             return id;
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -12,9 +12,11 @@
 
 #include "base/clock.h"
 #include "model/upstream_entry.h"
+#include "policy/cold_start.h"
 #include "policy/load_reports.h"
 #include "policy/outlier_detector.h"
 #include "policy/shared_rate_limits.h"
+#include "policy/upstream_notices.h"
 
 namespace medlaryoke::policy {
 
@@ -74,6 +76,15 @@
     /// @param limits limits of all services; must outlive the scheduler
     void set_rate_limits(shared_rate_limits& limits) { this->rate_limits_ = &limits; }
 
+    /// Sets what upstreams have said of themselves: ones that leave and ones that want no requests
+    /// for a time get none.
+    /// @param notices notices of all services; must outlive the scheduler
+    void set_notices(const upstream_notices& notices) { this->notices_ = &notices; }
+
+    /// Sets the limits of cold upstreams, which requests are assigned within.
+    /// @param cold limits of the service; must outlive the scheduler
+    void set_cold_start(cold_start& cold) { this->cold_ = &cold; }
+
     /// Replaces the list of upstreams. The state of upstreams that stay in the list is kept.
     /// @param upstreams all upstreams of the service
     /// @param own_data_centre data centre that is preferred between equally loaded upstreams
@@ -86,7 +97,8 @@
     void set_remote_load(const std::unordered_map<std::uint64_t, unsigned>& running,
                          const load_reports& reports = {});
 
-    /// Limits the running requests and the prefill work of the upstreams.
+    /// Limits the running requests and the prefill work of the upstreams. An upstream that runs
+    /// nothing takes a request whatever these limits are, as only its events can change them.
     /// @param max_mean_running running requests per upstream, as a mean over the service; with
     /// infinity only the slots of each upstream limit them
     /// @param max_prefill_tokens prompt tokens that one upstream prefills at a time; infinity for
@@ -107,8 +119,10 @@
     [[nodiscard]] std::vector<assignment> take_ready(time_point now);
 
     /// Removes the requests whose wait_until has passed, and those that cannot be sent before it:
-    /// at the current completion rate, the requests ahead of them take all slots until then, or the
-    /// upstreams that are left to them have rate limits that admit no further request until then.
+    /// at the current completion rate, the requests ahead of them take all slots until then, the
+    /// upstreams that are left to them have rate limits that admit no further request until then,
+    /// or all of these want no requests until then. Removes all if the data centres of all
+    /// upstreams are evacuated.
     /// @param now the current time
     /// @return ids of the removed requests
     [[nodiscard]] std::vector<std::uint64_t> take_expired(time_point now);
@@ -144,7 +158,7 @@
     void on_unreachable(std::uint64_t upstream, time_point now);
 
     /// @param upstream id of an upstream
-    /// @return whether it is in the list and not draining
+    /// @return whether it is in the list, does not leave and is not evacuated
     [[nodiscard]] bool is_usable(std::uint64_t upstream) const;
 
     /// @param excluded upstreams to ignore
@@ -154,6 +168,10 @@
     /// @return running requests of this gateway by upstream; idle upstreams are left out
     [[nodiscard]] std::unordered_map<std::uint64_t, unsigned> own_load() const;
 
+    /// @return time until the first upstream takes requests again, if all of them want none; else
+    /// zero
+    [[nodiscard]] duration pause_left(time_point now) const;
+
     /// @return number of upstreams in the list
     [[nodiscard]] std::size_t listed_count() const;
 
@@ -178,10 +196,7 @@
         double latency_ms = 0;        ///< moving average; 0 if unknown
         time_point latency_measured_at{};
 
-        [[nodiscard]] bool accepts_requests() const
-        {
-            return this->listed && !this->entry.draining;
-        }
+        [[nodiscard]] unsigned running() const { return this->own_running + this->remote_running; }
     };
     /// Requests that upstreams with rate limits take from this gateway.
     struct limited_service {
@@ -191,12 +206,32 @@
     using state_map = std::map<std::uint64_t, upstream_state>;
 
     /// @return whether upstreams without a rate limit have capacity for a priority
-    [[nodiscard]] bool has_capacity(unsigned priority) const;
+    [[nodiscard]] bool has_capacity(unsigned priority, time_point now) const;
+
+    /// @return whether these have capacity if at most `per_upstream` requests run at each
+    [[nodiscard]] bool has_capacity(unsigned priority, double per_upstream, time_point now) const;
+
+    /// @return whether an upstream runs nothing and has a slot for the priority
+    [[nodiscard]] bool has_idle_upstream(unsigned priority, time_point now) const;
 
     /// @return whether any upstream with a rate limit takes a request now
     [[nodiscard]] bool has_permit(time_point now) const;
     [[nodiscard]] double completion_rate(time_point now) const;
+    /// @return whether upstreams are listed and the data centres of all are evacuated
+    [[nodiscard]] bool is_evacuated() const;
+
+    /// @return whether an upstream is listed, does not leave and is not evacuated
+    [[nodiscard]] bool accepts_requests(const upstream_state& it) const;
+
+    /// @return until when an upstream wants no requests; empty if it takes them
+    [[nodiscard]] std::optional<time_point> paused_until(const upstream_state& it,
+                                                         time_point now) const;
+
+    /// @return when the first upstream that the request may be sent to takes requests again; `now`
+    /// if one of them takes them, or if there is none
+    [[nodiscard]] time_point first_use(const scheduled_request& request, time_point now) const;
     [[nodiscard]] bool is_limited(const upstream_state& it) const;
+    /// @return whether the rate limit of an upstream, and its being cold, admit a request now
     [[nodiscard]] bool is_permitted(const upstream_state& it, time_point now) const;
 
     /// @return what the upstreams take that the request may be sent to; empty if one of them has no
@@ -224,6 +259,8 @@
     state_map upstreams_;
     outlier_detector outliers_;
     shared_rate_limits* rate_limits_ = nullptr;
+    const upstream_notices* notices_ = nullptr;
+    cold_start* cold_ = nullptr;
     std::vector<scheduled_request> waiting_; ///< sorted by serving_order()
     std::map<unsigned, double> credits_;     ///< earned requests by priority; see starvation_credit
     double max_mean_running_;
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -8,8 +8,9 @@
 #include <exception>
 #include <mutex>
 #include <optional>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/bind_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -19,13 +20,15 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <fmt/format.h>
 
 #include "base/duration_text.h"
+#include "base/event_log.h"
 #include "base/logging.h"
+#include "policy/connection_memory.h"
+#include "policy/connection_slots.h"
 #include "transport/error_response.h"
 #include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
@@ -42,6 +45,14 @@
 
 // Each open connection holds one read buffer, so the buffer is small.
 constexpr std::size_t read_buffer_bytes = 4U * 1024U;
+// Read at once while a body arrives faster than that.
+constexpr std::size_t body_buffer_bytes = 16U * 1024U;
+// Replies that are shorter than this while they are written are not counted.
+constexpr std::size_t min_counted_reply_bytes = 4U * 1024U;
+// A request and the copy of it that is sent to an upstream.
+constexpr std::size_t copies_of_handled_request = 2;
+// Callers that are refused for lack of memory come back after this time.
+constexpr auto memory_retry_after = std::chrono::seconds(1);
 // After the last reply of a connection, such as an error reply to a request that was not read
 // completely, input is read and discarded for this long. Closing a socket with unread data resets
 // the connection, and the client may then lose the reply.
@@ -141,15 +152,51 @@
     return response;
 }
 
+/// What the clients of a server hold, and which of them gives way; see policy::connection_memory
+/// and policy::connection_slots. Guarded by the mutex of server_state.
+struct held_by_clients {
+    policy::connection_slots slots{0};
+    policy::connection_memory requests;
+    policy::connection_memory replies;
+    std::size_t closed_connections = 0;
+    std::size_t refused_requests = 0;
+    std::size_t closed_replies = 0;
+};
+
 /// The state that the acceptor shares with its connections.
 struct server_state {
+    void set_options(http_server_options next)
+    {
+        const std::scoped_lock lock(this->mutex);
+        this->held.slots.configure(next.max_connections);
+        this->held.requests.configure({.capacity = next.max_request_bytes});
+        this->held.replies.configure({.capacity = next.max_reply_bytes});
+        this->options = std::make_shared<const http_server_options>(std::move(next));
+    }
+
+    /// @return the connections with these ids that are open; the mutex must be held
+    [[nodiscard]] std::vector<std::shared_ptr<server_connection>>
+    find(const std::vector<std::uint64_t>& ids) const
+    {
+        std::vector<std::shared_ptr<server_connection>> found;
+        for (const auto id : ids) {
+            if (const auto it = this->connections.find(id); it != this->connections.end()) {
+                found.push_back(it->second);
+            }
+        }
+        return found;
+    }
+
     std::atomic<std::shared_ptr<const http_server_options>> options;
     http_handler handler;
     std::atomic<bool> draining = false;
     std::atomic<bool> accepts_while_draining = false; ///< see drain_mode::keep_accepting
     std::atomic<std::size_t> open_count = 0;          ///< open connections
-    std::mutex mutex;
-    std::unordered_set<std::shared_ptr<server_connection>> connections;
+    event_log log{"http"};
+    std::atomic<std::uint64_t> last_id = 0;
+    mutable std::mutex mutex;
+    held_by_clients held;
+    std::unordered_map<std::uint64_t, std::shared_ptr<server_connection>> connections; ///< by id
     bool closed = false;
 };
 
@@ -161,7 +208,7 @@
         : socket_(std::move(socket)),
           read_deadline_(socket_.get_executor(), [this] { this->on_read_timeout(); }),
           write_deadline_(socket_.get_executor(), [this] { this->close(); }),
-          state_(std::move(state))
+          state_(std::move(state)), id_(++state_->last_id)
     {
         ++this->state_->open_count;
     }
@@ -171,10 +218,15 @@
     server_connection& operator=(server_connection&&) = delete;
     ~server_connection() { --this->state_->open_count; }
 
+    [[nodiscard]] std::uint64_t id() const { return this->id_; }
+
     [[nodiscard]] asio::any_io_executor executor() { return this->socket_.get_executor(); }
 
     void start()
     {
+        if (this->phase_ == phase::closed) {
+            return; // closed before it was used, as there are too many
+        }
         error_code ec;
         this->socket_.set_option(tcp::no_delay(true), ec);
         this->wait_for_request();
@@ -189,6 +241,9 @@
 
     void close();
 
+    /// Refuses the request that arrives, because the server is short of memory.
+    void refuse_for_memory();
+
     // The server_stream of the current request calls these on the strand.
     void send_response(const http_response& response);
     void send_head(const http_head& head);
@@ -202,8 +257,15 @@
     enum class phase { idle, receiving, handling, lingering, closed };
 
     void wait_for_request();
-    void receive_head();
-    void receive_body();
+    void begin_request();
+    /// Parses what has arrived and reads on, or handles the request if it is complete.
+    void parse_request();
+    /// @return whether the head is acceptable; if not, the request was rejected
+    [[nodiscard]] bool check_head();
+    void read_more();
+    void count_request(std::size_t bytes, bool is_handled);
+    void count_reply(std::size_t bytes);
+    void set_use(policy::connection_use use);
     void on_receive_error(const error_code& ec);
     void reject_request(const http_response& response);
     [[nodiscard]] std::shared_ptr<const http_server_options> current_options() const
@@ -224,13 +286,19 @@
     moving_deadline read_deadline_;
     moving_deadline write_deadline_;
     std::shared_ptr<server_state> state_;
+    std::uint64_t id_;
     boost::beast::flat_buffer buffer_;
     std::unique_ptr<http::request_parser<http::string_body>> parser_;
     std::weak_ptr<server_stream> stream_;
     reply_framing framing_;
     phase phase_ = phase::idle;
     bool reading_ = false;
-    bool receive_timed_out_ = false; ///< the current request did not arrive in time
+    bool head_checked_ = false;
+    bool receive_timed_out_ = false;             ///< the current request did not arrive in time
+    bool out_of_memory_ = false;                 ///< the current request gives way to others
+    std::size_t read_bytes_ = read_buffer_bytes; ///< read at once while a request arrives
+    bool counts_request_ = false;                ///< the request is counted in held_by_clients
+    bool counts_reply_ = false;                  ///< the reply is counted in held_by_clients
     bool reply_ended_ = false;
     bool aborting_ = false;     ///< close after the queued bytes, without ending the reply
     std::string pending_bytes_; ///< queued behind the running write
@@ -405,23 +473,100 @@
         stream->on_client_disconnected();
     }
     this->stream_.reset();
+    this->parser_.reset();
+    this->count_request(0, false);
+    this->count_reply(0);
     const std::scoped_lock lock(this->state_->mutex);
-    this->state_->connections.erase(this->shared_from_this());
+    this->state_->held.slots.on_close(this->id_);
+    this->state_->connections.erase(this->id_);
+}
+
+void server_connection::set_use(policy::connection_use use)
+{
+    const std::scoped_lock lock(this->state_->mutex);
+    this->state_->held.slots.on_use(this->id_, use, std::chrono::steady_clock::now());
+}
+
+void server_connection::count_request(std::size_t bytes, bool is_handled)
+{
+    if (bytes == 0 && !this->counts_request_) {
+        return;
+    }
+    this->counts_request_ = bytes > 0;
+    std::vector<std::shared_ptr<server_connection>> chosen;
+    {
+        const std::scoped_lock lock(this->state_->mutex);
+        auto& held = this->state_->held;
+        chosen = this->state_->find(
+            held.requests.set(this->id_, bytes, !is_handled, std::chrono::steady_clock::now()));
+        held.refused_requests += chosen.size();
+    }
+    for (const auto& it : chosen) {
+        if (it.get() == this) {
+            this->counts_request_ = false;
+            this->out_of_memory_ = true;
+        }
+        else {
+            asio::post(it->executor(), [it] { it->refuse_for_memory(); });
+        }
+    }
+}
+
+void server_connection::count_reply(std::size_t bytes)
+{
+    if (!this->counts_reply_ && bytes < min_counted_reply_bytes) {
+        return;
+    }
+    this->counts_reply_ = bytes > 0;
+    std::vector<std::shared_ptr<server_connection>> chosen;
+    {
+        const std::scoped_lock lock(this->state_->mutex);
+        auto& held = this->state_->held;
+        chosen = this->state_->find(
+            held.replies.set(this->id_, bytes, true, std::chrono::steady_clock::now()));
+        held.closed_replies += chosen.size();
+    }
+    for (const auto& it : chosen) {
+        asio::post(it->executor(), [it] {
+            it->state_->log.sample(log_level::warning,
+                                   "reply is not read, connection closed for lack of memory",
+                                   {{"bytes", static_cast<std::int64_t>(it->queued_bytes.load())}});
+            it->close();
+        });
+    }
+}
+
+void server_connection::refuse_for_memory()
+{
+    if (this->phase_ == phase::closed) {
+        return;
+    }
+    this->counts_request_ = false;
+    if (this->phase_ != phase::receiving) {
+        return; // it has arrived meanwhile; its end is counted anew
+    }
+    this->out_of_memory_ = true;
+    if (this->reading_) {
+        error_code ec;
+        this->socket_.cancel(ec); // the pending read then calls on_receive_error()
+    }
 }
 
 void server_connection::wait_for_request()
 {
     this->phase_ = phase::idle;
     this->parser_.reset();
+    this->count_request(0, false);
     if (this->buffer_.size() > 0) {
         if (this->reading_) {
             error_code ec;
             this->socket_.cancel(ec); // on_read() continues with the buffered request
             return;
         }
-        this->receive_head();
+        this->begin_request();
         return;
     }
+    this->set_use(policy::connection_use::idle);
     if (this->state_->draining && !this->state_->accepts_while_draining) {
         this->close();
         return;
@@ -450,6 +595,18 @@
     if (this->phase_ == phase::closed) {
         return;
     }
+    if (this->phase_ == phase::receiving) {
+        if (ec) {
+            this->on_receive_error(ec);
+            return;
+        }
+        if (n == this->read_bytes_) {
+            this->read_bytes_ = body_buffer_bytes;
+        }
+        this->buffer_.commit(n);
+        this->parse_request();
+        return;
+    }
     const bool cancelled = ec == asio::error::operation_aborted && this->buffer_.size() > 0;
     if (ec && !cancelled) {
         this->close();
@@ -457,7 +614,7 @@
     }
     this->buffer_.commit(n);
     if (this->phase_ == phase::idle) {
-        this->receive_head();
+        this->begin_request();
     }
     else if (this->phase_ == phase::lingering) {
         this->buffer_.clear();
@@ -468,53 +625,89 @@
     }
 }
 
-void server_connection::receive_head()
+void server_connection::begin_request()
 {
     this->phase_ = phase::receiving;
     this->receive_timed_out_ = false;
+    this->out_of_memory_ = false;
+    this->head_checked_ = false;
+    this->read_bytes_ = read_buffer_bytes;
     this->framing_ = {};
     this->parser_ = std::make_unique<http::request_parser<http::string_body>>();
     const auto options = this->current_options();
+    this->parser_->eager(true);
     this->parser_->header_limit(static_cast<std::uint32_t>(options->max_header_bytes));
     this->parser_->body_limit(options->max_body_bytes);
     // Also bounds a chunk header or a trailer without end, which the parser itself does not.
     this->buffer_.max_size(options->max_header_bytes + 2 * read_buffer_bytes);
+    this->set_use(policy::connection_use::receiving);
     this->read_deadline_.set(options->header_timeout, this->shared_from_this());
-    http::async_read_header(
-        this->socket_, this->buffer_, *this->parser_,
-        [self = this->shared_from_this()](const error_code& ec, std::size_t) {
-            if (self->phase_ == phase::closed) {
-                return;
-            }
-            if (ec) {
-                self->on_receive_error(ec);
-                return;
-            }
-            if (const auto failure = find_framing_error(self->parser_->get())) {
-                self->reject_request(make_error_response(*failure));
-                return;
-            }
-            if (boost::beast::iequals(self->parser_->get()[http::field::expect], "100-continue")) {
-                self->queue("HTTP/1.1 100 Continue\r\n\r\n");
-            }
-            self->read_deadline_.set(self->current_options()->request_timeout, self);
-            self->receive_body();
-        });
+    this->parse_request();
+}
+
+void server_connection::parse_request()
+{
+    error_code ec;
+    while (this->buffer_.size() > 0 && !this->parser_->is_done()) {
+        const auto used = this->parser_->put(this->buffer_.data(), ec);
+        this->buffer_.consume(used);
+        if (ec == http::error::need_more) {
+            ec = {};
+            break;
+        }
+        if (ec) {
+            this->on_receive_error(ec);
+            return;
+        }
+    }
+    if (this->parser_->is_header_done() && !std::exchange(this->head_checked_, true) &&
+        !this->check_head()) {
+        return;
+    }
+    if (this->parser_->is_done()) {
+        this->call_handler();
+        return;
+    }
+    // What a string reserves for an announced length takes no memory until it is filled.
+    const auto& body = this->parser_->get().body();
+    this->count_request(std::min(body.capacity(), 2 * body.size()) + this->buffer_.capacity(),
+                        false);
+    if (this->out_of_memory_) {
+        this->on_receive_error(asio::error::no_memory);
+        return;
+    }
+    this->read_more();
+}
+
+bool server_connection::check_head()
+{
+    if (const auto failure = find_framing_error(this->parser_->get())) {
+        this->reject_request(make_error_response(*failure));
+        return false;
+    }
+    if (boost::beast::iequals(this->parser_->get()[http::field::expect], "100-continue")) {
+        this->queue("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    this->read_deadline_.set(this->current_options()->request_timeout, this->shared_from_this());
+    return true;
 }
 
-void server_connection::receive_body()
+void server_connection::read_more()
 {
-    http::async_read(this->socket_, this->buffer_, *this->parser_,
-                     [self = this->shared_from_this()](const error_code& ec, std::size_t) {
-                         if (self->phase_ == phase::closed) {
-                             return;
-                         }
-                         if (ec) {
-                             self->on_receive_error(ec);
-                             return;
-                         }
-                         self->call_handler();
-                     });
+    if (this->reading_) {
+        return; // on_read() goes on
+    }
+    const auto n = std::min(this->read_bytes_, this->buffer_.max_size() - this->buffer_.size());
+    if (n == 0) {
+        this->on_receive_error(http::error::buffer_overflow);
+        return;
+    }
+    this->reading_ = true;
+    this->socket_.async_read_some(
+        this->buffer_.prepare(n),
+        [self = this->shared_from_this()](const error_code& ec, std::size_t size) {
+            self->on_read(ec, size);
+        });
 }
 
 void server_connection::on_read_timeout()
@@ -532,6 +725,9 @@
 {
     this->framing_.keep_alive = false;
     this->phase_ = phase::handling;
+    this->parser_.reset();
+    this->count_request(0, false);
+    this->set_use(policy::connection_use::answering);
     this->send_response(response);
 }
 
@@ -540,7 +736,15 @@
     constexpr unsigned request_timeout_status = 408;
     constexpr unsigned header_too_large_status = 431;
     const auto options = this->current_options();
-    if (this->receive_timed_out_) {
+    if (this->out_of_memory_) {
+        this->state_->log.sample(log_level::warning, "request refused for lack of memory", {});
+        auto response = make_error_response(
+            error(error_kind::unavailable, "the server holds too many unfinished requests",
+                  "Retry the request after the time in Retry-After."));
+        response.head.headers.push_back(make_retry_after(memory_retry_after));
+        this->reject_request(response);
+    }
+    else if (this->receive_timed_out_) {
         this->reject_request(make_error_response_with_status(
             error(error_kind::deadline_exceeded,
                   fmt::format("request head did not arrive within {}, or its body within {} more",
@@ -581,6 +785,12 @@
     this->read_deadline_.clear();
     this->reply_ended_ = false;
     auto message = this->parser_->release();
+    this->parser_.reset();
+    this->set_use(policy::connection_use::answering);
+    this->count_request(copies_of_handled_request * message.body().size(), true);
+    if (this->buffer_.size() == 0) {
+        this->buffer_.shrink_to_fit();
+    }
     const auto text = [](boost::beast::string_view view) {
         return std::string(view.data(), view.size());
     };
@@ -664,6 +874,7 @@
 void server_connection::queue(std::string bytes)
 {
     this->queued_bytes += bytes.size();
+    this->count_reply(this->queued_bytes);
     if (this->pending_bytes_.empty()) {
         this->pending_bytes_ = std::move(bytes);
     }
@@ -700,6 +911,11 @@
 {
     this->writing_ = false;
     this->queued_bytes -= this->write_buffer_.size();
+    this->write_buffer_.clear();
+    if (this->write_buffer_.capacity() >= min_counted_reply_bytes) {
+        this->write_buffer_.shrink_to_fit();
+    }
+    this->count_reply(this->queued_bytes);
     if (this->phase_ == phase::closed) {
         return;
     }
@@ -743,7 +959,7 @@
           retry_timer_(acceptor_.get_executor()), state_(std::make_shared<server_state>())
     {
         const auto endpoint = parse_tcp_address(options.address);
-        this->state_->options = std::make_shared<const http_server_options>(options);
+        this->state_->set_options(options);
         this->state_->handler = std::move(handler);
         try {
             this->acceptor_.open(endpoint.protocol());
@@ -768,10 +984,7 @@
             });
     }
 
-    void set_limits(http_server_options options)
-    {
-        this->state_->options = std::make_shared<const http_server_options>(std::move(options));
-    }
+    void set_limits(http_server_options options) { this->state_->set_options(std::move(options)); }
 
     void drain(drain_mode mode)
     {
@@ -791,17 +1004,25 @@
     void close()
     {
         this->drain(drain_mode::stop_accepting);
-        std::unordered_set<std::shared_ptr<server_connection>> connections;
+        std::unordered_map<std::uint64_t, std::shared_ptr<server_connection>> connections;
         {
             const std::scoped_lock lock(this->state_->mutex);
             this->state_->closed = true;
             connections.swap(this->state_->connections);
         }
-        for (const auto& connection : connections) {
-            asio::post(connection->executor(), [connection] { connection->close(); });
+        for (const auto& [id, connection] : connections) {
+            asio::post(connection->executor(), [target = connection] { target->close(); });
         }
     }
 
+    [[nodiscard]] http_server_usage usage() const
+    {
+        const std::scoped_lock lock(this->state_->mutex);
+        const auto& held = this->state_->held;
+        return {this->state_->open_count, held.requests.held(),  held.replies.held(),
+                held.closed_connections,  held.refused_requests, held.closed_replies};
+    }
+
     [[nodiscard]] const std::string& address() const { return this->address_; }
     [[nodiscard]] std::size_t open_connections() const { return this->state_->open_count; }
 
@@ -824,12 +1045,24 @@
         }
         const auto connection =
             std::make_shared<server_connection>(std::move(socket), this->state_);
+        std::vector<std::shared_ptr<server_connection>> closed;
         {
             const std::scoped_lock lock(this->state_->mutex);
             if (this->state_->closed) {
                 return;
             }
-            this->state_->connections.insert(connection);
+            this->state_->connections[connection->id()] = connection;
+            auto& held = this->state_->held;
+            if (const auto id =
+                    held.slots.on_open(connection->id(), std::chrono::steady_clock::now())) {
+                ++held.closed_connections;
+                closed = this->state_->find({*id});
+            }
+        }
+        for (const auto& it : closed) {
+            this->state_->log.sample(log_level::warning, "connection closed for a new one",
+                                     {{"address", this->address_}, {"new", it == connection}});
+            asio::post(it->executor(), [it] { it->close(); });
         }
         asio::post(connection->executor(), [connection] { connection->start(); });
         this->accept();
@@ -839,8 +1072,8 @@
     void for_each_connection(Function fn)
     {
         const std::scoped_lock lock(this->state_->mutex);
-        for (const auto& connection : this->state_->connections) {
-            asio::post(connection->executor(), [connection, fn] { fn(*connection); });
+        for (const auto& [id, connection] : this->state_->connections) {
+            asio::post(connection->executor(), [target = connection, fn] { fn(*target); });
         }
     }
 
@@ -877,6 +1110,11 @@
     this->impl_->set_limits(std::move(options));
 }
 
+http_server_usage http_server::usage() const
+{
+    return this->impl_->usage();
+}
+
 std::size_t http_server::open_connections() const
 {
     return this->impl_->open_connections();
--- a/Source/transport/http_server.h
+++ b/Source/transport/http_server.h
@@ -56,6 +56,25 @@
     duration header_timeout = std::chrono::seconds(10);  ///< to receive the head of a request
     duration request_timeout = std::chrono::seconds(10); ///< to receive the body after the head
     duration write_timeout = std::chrono::seconds(30);   ///< for one write to a slow client
+    /// Connections that may be open at the same time. For a further one, the one that has been idle
+    /// for longest is closed, else the one whose request has been arriving for longest.
+    std::size_t max_connections = 4096;
+    /// Bytes of all requests that arrive or are handled. If they are exceeded, the largest request
+    /// that is still arriving is refused, stalled ones first.
+    std::size_t max_request_bytes = 64U * 1024U * 1024U;
+    /// Bytes of all replies that clients have not read. If they are exceeded, the connection with
+    /// the most of them is closed, stalled ones first.
+    std::size_t max_reply_bytes = 64U * 1024U * 1024U;
+};
+
+/// What the connections of a server hold, and how often a client had to give way.
+struct http_server_usage {
+    std::size_t connections = 0;
+    std::size_t request_bytes = 0;
+    std::size_t reply_bytes = 0;
+    std::size_t closed_connections = 0; ///< closed for new ones, since the start
+    std::size_t refused_requests = 0;   ///< refused for lack of memory, since the start
+    std::size_t closed_replies = 0;     ///< closed with an unread reply, since the start
 };
 
 /// What a draining server does with new and idle connections.
@@ -99,6 +118,9 @@
     /// @return number of open connections
     [[nodiscard]] std::size_t open_connections() const;
 
+    /// @return what the connections hold
+    [[nodiscard]] http_server_usage usage() const;
+
     class implementation;
 
 private:
--- a/Tests/fakes/fake_keyed_log.h
+++ b/Tests/fakes/fake_keyed_log.h
@@ -52,6 +52,19 @@
         done(position);
     }
 
+    void renew_connections() override
+    {
+        const std::scoped_lock lock(this->mutex_);
+        ++this->renewals_;
+    }
+
+    /// @return how often the connections were renewed
+    [[nodiscard]] unsigned renewals() const
+    {
+        const std::scoped_lock lock(this->mutex_);
+        return this->renewals_;
+    }
+
     /// @param epoch in which `put` is acknowledged from now on
     void accept_puts(std::uint64_t epoch)
     {
@@ -89,6 +102,7 @@
     std::condition_variable added_;
     std::deque<call> calls_;
     std::uint64_t epoch_ = 0;
+    unsigned renewals_ = 0;
     std::vector<std::string> accepted_;
 };
 
--- a/Tests/gateway/followed_topic.h
+++ b/Tests/gateway/followed_topic.h
@@ -17,10 +17,13 @@
 
 /// A follower of a fake store that records its callbacks.
 struct followed_topic {
-    followed_topic()
+    /// @param overdue_after see follower_options
+    explicit followed_topic(duration overdue_after = std::chrono::hours(1))
     {
         follower_options options;
         options.topic = "t";
+        options.read_wait = std::chrono::milliseconds(100);
+        options.overdue_after = overdue_after;
         options.initial_backoff = std::chrono::milliseconds(1);
         options.min_read_interval = {};
         follower = std::make_shared<topic_follower>(
--- a/Tests/gateway/test_topic_follower.cxx
+++ b/Tests/gateway/test_topic_follower.cxx
@@ -68,3 +68,36 @@
     const std::scoped_lock lock(topic.mutex);
     cr_assert(topic.changes == std::vector<std::string>({"a=1", "b=2"}));
 }
+
+// Guards against a connection to the store that goes silent and is noticed only when the read times
+// out: a change is missed for as long.
+Test(topic_follower, reads_again_when_an_answer_is_overdue)
+{
+    followed_topic topic(100ms);
+    topic.answer("list", keyed_records{{}, 3});
+    const auto silent = topic.store.next();
+    cr_assert(silent.operation == "read" && silent.wait > 0ms);
+    const auto second = topic.answer("read", keyed_records{{{"a", "1", 3}}, 4});
+    cr_assert(second.wait == 0ms && second.from == 3);
+    cr_assert(topic.store.next().from == 4);
+    cr_assert(topic.store.renewals() >= 1);
+    topic.context.post([&silent] { silent.done(keyed_unavailable{"timed out"}); });
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1"}));
+}
+
+// Guards against an outage that is reported although one of two reads is answered, and against one
+// that is not reported because the other read is still open.
+Test(topic_follower, the_first_answer_of_two_reads_counts)
+{
+    followed_topic topic;
+    topic.answer("list", keyed_records{{}, 3});
+    const auto slow = topic.store.next();
+    topic.context.post([&topic] { topic.follower->catch_up({0, 4}); });
+    topic.answer("read", keyed_unavailable{"refused"});
+    topic.context.post([&slow] { slow.done(keyed_records{{{"a", "1", 3}}, 4}); });
+    topic.answer("read", keyed_unavailable{"refused"});
+    cr_assert(topic.store.next().wait == 0ms);
+    const std::scoped_lock lock(topic.mutex);
+    cr_assert(topic.changes == std::vector<std::string>({"a=1", "away"}));
+}
--- a/Tests/policy/test_step_time_limit.cxx
+++ b/Tests/policy/test_step_time_limit.cxx
@@ -105,3 +105,20 @@
     }
     cr_assert(limit.run_limit() == before && limit.work_factor() == 1);
 }
+
+// Guards against limits that stay low for good after the streams that they were learned from have
+// ended. Load: slow engines raise the work factor, then a crash ends all streams.
+Test(step_time_limit, forgets_the_work_factor_without_events)
+{
+    step_time_limit fresh;
+    fresh.configure(make_pace(), 120ms);
+    step_time_limit limit;
+    limit.configure(make_pace(), 120ms);
+    simulated_group group;
+    group.run(limit, 5, 100);
+    cr_assert(limit.run_limit() < fresh.run_limit());
+    cr_assert(!limit.on_tick(group.now + 1900ms));
+    cr_assert(limit.on_tick(group.now + 2s));
+    cr_assert(limit.run_limit() == fresh.run_limit());
+    cr_assert(limit.prefill_token_limit(0) == fresh.prefill_token_limit(0));
+}
--- a/Tests/policy/test_upstream_registry.cxx
+++ b/Tests/policy/test_upstream_registry.cxx
@@ -126,3 +126,21 @@
     registry.on_entry(make_entry("a"), change_origin::restored_copy, start + 62s);
     cr_assert(registry.upstreams().size() == 1);
 }
+
+// Guards against an upstream that is kept after it has left because the own path to the store, and
+// not the store, had failed around its removal.
+Test(upstream_registry, removals_around_an_own_outage_take_effect_at_once)
+{
+    upstream_registry registry(options);
+    registry.on_entry(make_entry("a"), change_origin::log, start);
+    registry.on_entry(make_entry("b"), change_origin::log, start);
+    registry.on_store(false, start);
+    cr_assert(!registry.is_recovering(start));
+    registry.on_store(true, start + 5s);
+    registry.on_removed("a", start + 5s);
+    cr_assert(registry.is_recovering(start + 5s) && registry.upstreams().size() == 2);
+    registry.on_own_outage();
+    cr_assert(registry.expire(start + 5s) && registry.upstreams().size() == 1);
+    registry.on_removed("b", start + 5s);
+    cr_assert(registry.upstreams().empty());
+}
--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -258,3 +258,60 @@
     sent = scheduler.take_ready(start);
     cr_assert(sent.size() == 1 && sent[0].request == 3);
 }
+
+// Guards against limits that refuse everything while nothing runs: learned under a load that is
+// over, they would never change again. Load: all streams of slow engines end at once in a crash,
+// while the limits are at their lowest and the prompts are longer than they admit.
+Test(upstream_scheduler, idle_upstream_takes_a_request_whatever_the_limits)
+{
+    auto scheduler = make_scheduler(3);
+    scheduler.set_limits(0.5, 100);
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        auto request = make_request(n);
+        request.prompt_tokens = 800;
+        scheduler.push(request);
+    }
+    std::set<std::uint64_t> used;
+    const auto ready = scheduler.take_ready(start);
+    for (const auto& it : ready) {
+        used.insert(it.upstream);
+    }
+    cr_assert(ready.size() == 3 && used.size() == 3);
+    cr_assert(scheduler.waiting() == 1);
+}
+
+// Guards against a gateway that takes no part because others have filled some upstreams beyond its
+// own limit. Load: others run at their slots, one upstream has just come back and runs nothing.
+Test(upstream_scheduler, idle_upstream_is_used_beside_overfilled_ones)
+{
+    auto scheduler = make_scheduler(4);
+    scheduler.set_limits(2, 1000);
+    scheduler.set_remote_load({{hash64("u0"), 4}, {hash64("u1"), 4}, {hash64("u2"), 4}});
+    const auto sent = send(scheduler, 2);
+    cr_assert(sent.size() == 1 && sent.front().upstream == hash64("u3"));
+}
+
+// Guards against an upstream that no request may probe and that stays out of use for good. Load:
+// a service whose requests must not be repeated, one upstream of which has failed for a while.
+Test(upstream_scheduler, ejected_upstream_returns_without_probes)
+{
+    auto scheduler = make_scheduler(3, 1);
+    for (int n = 0; n < 5; ++n) {
+        scheduler.on_result(hash64("u0"), call_outcome::failed, std::nullopt, start);
+    }
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        auto request = make_request(n);
+        request.wait_until = start + 60s;
+        scheduler.push(request);
+    }
+    cr_assert(scheduler.take_ready(start).size() == 2);
+    (void)scheduler.take_expired(start + 4s);
+    cr_assert(scheduler.take_ready(start + 4s).empty());
+    (void)scheduler.take_expired(start + 7s);
+    const auto ready = scheduler.take_ready(start + 7s);
+    cr_assert(ready.size() == 1 && ready.front().upstream == hash64("u0"));
+    scheduler.on_result(hash64("u0"), call_outcome::failed, std::nullopt, start + 7s);
+    scheduler.on_end(hash64("u0"), 0, start + 7s);
+    scheduler.push(make_request(9));
+    cr_assert(scheduler.take_ready(start + 7s).empty(), "one failure ejects it again");
+}
