--- a/Tests/Soak/soak_main.cxx
+++ b/Tests/Soak/soak_main.cxx
@@ -18,17 +18,17 @@
 
 /// Runs the faults of one seed.
 /// @return whether there were no violations
-bool run_seed(unsigned seed, unsigned seconds, bool restores_store)
+bool run_seed(unsigned seed, unsigned seconds, bool restores_store, bool gives_notices)
 {
     const auto directory = fakes::make_temporary_directory();
-    soak::soak_run test(seed, directory, restores_store);
+    soak::soak_run test(seed, directory, restores_store, gives_notices);
     test.run(std::chrono::seconds(seconds));
     return soak::print_report(
         {fmt::format("seed {} seconds {}: {} calls, {} answered, {} faults", seed, seconds,
                      test.results().calls(), test.results().answered(), test.faults().size()),
          test.results().violations(), test.faults(), directory,
-         fmt::format("test_soak --seeds {} --seconds {}{}", seed, seconds,
-                     restores_store ? " --restores" : "")});
+         fmt::format("test_soak --seeds {} --seconds {}{}{}", seed, seconds,
+                     restores_store ? " --restores" : "", gives_notices ? " --notices" : "")});
 }
 
 } // namespace
@@ -42,10 +42,13 @@
     app.add_option("--seconds", seconds, "time during which new faults start, for each seed");
     bool restores_store = false;
     app.add_flag("--restores", restores_store, "restore the store from older copies, too");
+    bool gives_notices = false;
+    app.add_flag("--notices", gives_notices,
+                 "upstreams say that they leave or want nothing, and a data centre is evacuated");
     CLI11_PARSE(app, argc, argv);
     bool all_passed = true;
     for (const auto seed : seeds) {
-        all_passed = run_seed(seed, seconds, restores_store) && all_passed;
+        all_passed = run_seed(seed, seconds, restores_store, gives_notices) && all_passed;
     }
     return all_passed ? 0 : 1;
 }
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -33,14 +33,17 @@
 
 } // namespace
 
-soak_run::soak_run(unsigned seed, const std::string& directory, bool restores_store)
-    : random_(seed), restore_random_(seed), restores_store_(restores_store), store_(runtime_),
-      terminated_at_(gateway_count), resumed_at_(gateway_count), started_(timer::now())
+soak_run::soak_run(unsigned seed, const std::string& directory, bool restores_store,
+                   bool gives_notices)
+    : random_(seed), restore_random_(seed), notice_random_(seed), restores_store_(restores_store),
+      gives_notices_(gives_notices), store_(runtime_), terminated_at_(gateway_count),
+      resumed_at_(gateway_count), started_(timer::now())
 {
     this->runtime_.start();
     for (unsigned n = 0; n < upstream_count; ++n) {
         this->upstreams_.push_back(std::make_unique<soak_upstream>(
             this->runtime_, this->executions_, fmt::format("upstream-{}", n)));
+        this->upstreams_.back()->data_centre = gives_notices && n % 2 == 1 ? "dc-1" : "dc-0";
         this->store_.put_upstream(*this->upstreams_.back(), "ready");
     }
     this->update_configuration();
@@ -116,6 +119,11 @@
     if (this->restores_store_ && this->restore_random_() % faults_per_restore == 0) {
         this->restore_store();
     }
+    constexpr unsigned faults_per_notice = 3;
+    if (this->gives_notices_ && !this->is_notice_given_ &&
+        this->notice_random_() % faults_per_notice == 0) {
+        this->inject_notice();
+    }
     constexpr unsigned gateway_kinds = 5;
     constexpr unsigned upstream_kinds = 8;
     constexpr unsigned store_kinds = 3;
@@ -236,6 +244,73 @@
     }
 }
 
+void soak_run::inject_notice()
+{
+    // An upstream's own word is known to all gateways within a heartbeat. What an operator asks for
+    // is read when the store answers again, which may be silent for 2 s.
+    constexpr auto leaving_bound = 2500ms;
+    constexpr auto evacuation_bound = 5000ms;
+    constexpr auto unused_time = 1500ms;
+    constexpr unsigned kinds = 3;
+    this->is_notice_given_ = true;
+    auto& upstream = *this->upstreams_[this->notice_random_() % upstream_count];
+    switch (this->notice_random_() % kinds) {
+    case 0: {
+        this->record_fault(upstream.name() + " says that it leaves");
+        upstream.leaves = true;
+        // Only gateways that have passed on an answer know it; the first one tells the others.
+        const auto since = timer::now() + leaving_bound;
+        this->repair_after(leaving_bound + unused_time, [this, &upstream, since] {
+            this->check_unused(upstream, since, "DRAIN");
+            ++upstream.born;
+            upstream.leaves = false;
+            this->store_.put_upstream(upstream, "ready");
+            this->is_notice_given_ = false;
+        });
+        break;
+    }
+    case 1:
+        this->record_fault(upstream.name() + " wants nothing for a time");
+        upstream.pause_s = 1;
+        upstream.refuses = true;
+        this->repair_after(unused_time, [this, &upstream] {
+            upstream.refuses = false;
+            upstream.pause_s = 0;
+            this->is_notice_given_ = false;
+        });
+        break;
+    default: {
+        this->record_fault("evacuation of dc-1");
+        this->store_.put("keyed.op", "evacuate/dc-1", "{}");
+        const auto since = timer::now() + evacuation_bound;
+        this->repair_after(evacuation_bound + unused_time, [this, since] {
+            for (const auto& it : this->upstreams_) {
+                if (it->data_centre == "dc-1") {
+                    this->check_unused(*it, since, "EVAC");
+                }
+            }
+            this->store_.put("keyed.op", "evacuate/dc-1", "");
+            this->is_notice_given_ = false;
+        });
+        break;
+    }
+    }
+}
+
+void soak_run::check_unused(const soak_upstream& upstream, timer::time_point since,
+                            const std::string& rule)
+{
+    // Bytes that a proxy or a suspended gateway held back.
+    constexpr long tolerated = 2;
+    const auto arrivals = upstream.arrivals();
+    const auto count = std::ranges::count_if(
+        arrivals, [since](const soak_upstream::arrival& it) { return it.at > since; });
+    if (count > tolerated) {
+        this->results_.add_violation(
+            fmt::format("{}: {} requests reach {}", rule, count, upstream.name()));
+    }
+}
+
 void soak_run::record_fault(const std::string& what)
 {
     const auto at = std::chrono::duration<double>(timer::now() - this->started_);
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -22,7 +22,10 @@
     /// @param seed seed of the fault schedule
     /// @param directory where the settings and logs are written
     /// @param restores_store whether the store is also restored from older copies
-    soak_run(unsigned seed, const std::string& directory, bool restores_store);
+    /// @param gives_notices whether upstreams say that they leave or want nothing, and a data
+    /// centre is evacuated at times
+    soak_run(unsigned seed, const std::string& directory, bool restores_store,
+             bool gives_notices = false);
 
     soak_run(const soak_run&) = delete;
     soak_run& operator=(const soak_run&) = delete;
@@ -53,6 +56,13 @@
     void restore_store();
     void inject_gateway_fault(unsigned kind);
     void inject_upstream_fault(unsigned kind);
+    /// Makes an upstream say that it leaves or wants nothing for a time, or evacuates a data
+    /// centre.
+    void inject_notice();
+    /// Adds a violation if more than a few requests reached an upstream.
+    /// @param since requests that arrived earlier are not counted
+    void check_unused(const soak_upstream& upstream, timer::time_point since,
+                      const std::string& rule);
     void record_fault(const std::string& what);
     void repair_after(std::chrono::milliseconds delay, std::function<void()> act);
     void run_repairs(bool all);
@@ -62,7 +72,10 @@
 
     std::mt19937 random_;
     std::mt19937 restore_random_; ///< apart, so that a seed's other faults stay the same
+    std::mt19937 notice_random_;  ///< apart, as above
     bool restores_store_ = false;
+    bool gives_notices_ = false;
+    bool is_notice_given_ = false; ///< one at a time, so that enough upstreams are left
     transport::runtime runtime_{1};
     soak_store store_;
     execution_counter executions_;
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -139,7 +139,8 @@
 
 void soak_store::put_upstream(const soak_upstream& upstream, const std::string& state)
 {
-    this->put_upstream(upstream.name(), upstream.address(), state);
+    this->put_upstream(upstream.name(), upstream.address(), state, upstream.data_centre,
+                       upstream.born);
 }
 
 void soak_store::remove_upstream(const std::string& name)
@@ -148,12 +149,14 @@
 }
 
 void soak_store::put_upstream(const std::string& name, const std::string& address,
-                              const std::string& state)
+                              const std::string& state, const std::string& data_centre,
+                              std::int64_t born)
 {
     this->put("keyed.servers", name,
               nlohmann::json{{"service", service_name},
                              {"address", address},
-                             {"zone", "dc-0"},
+                             {"zone", data_centre},
+                             {"born", born},
                              {"slots", 8},
                              {"state", state}}
                   .dump());
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -54,8 +55,10 @@
     /// @param name name of the upstream
     /// @param address IPv4 address and port
     /// @param state `ready` or `draining`
-    void put_upstream(const std::string& name, const std::string& address,
-                      const std::string& state);
+    /// @param data_centre its data centre
+    /// @param born start of its incarnation
+    void put_upstream(const std::string& name, const std::string& address, const std::string& state,
+                      const std::string& data_centre = "dc-0", std::int64_t born = 0);
 
     /// Deletes the membership record of an upstream.
     void remove_upstream(const std::string& name);
--- a/Tests/Soak/soak_upstream.cxx
+++ b/Tests/Soak/soak_upstream.cxx
@@ -66,8 +66,14 @@
             head.headers.push_back({"Server-Limit", fmt::format("{}", *this->rate_limit_)});
         }
     }
+    if (this->leaves) {
+        head.headers.push_back({"Server-Leaving", "1"});
+    }
     if (!executes) {
         head.status = is_other ? 421 : 503;
+        if (!is_other && this->pause_s > 0) {
+            head.headers.push_back({"Retry-After", fmt::format("{}", this->pause_s.load())});
+        }
         head.headers.push_back({"Medlaryoke-Not-Executed", "full"});
         reply->respond({head, ""});
         return;
--- a/Tests/Soak/soak_upstream.h
+++ b/Tests/Soak/soak_upstream.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -64,9 +65,13 @@
     /// @return the requests in the order of their arrival
     [[nodiscard]] std::vector<arrival> arrivals() const;
 
-    std::atomic<bool> refuses = false; ///< answers 503 without executing requests
-    std::atomic<bool> fails = false;   ///< executes requests and answers 500
-    std::atomic<int> work_ms = 20;     ///< time from a request to its answer
+    std::atomic<bool> refuses = false;  ///< answers 503 without executing requests
+    std::atomic<bool> fails = false;    ///< executes requests and answers 500
+    std::atomic<int> work_ms = 20;      ///< time from a request to its answer
+    std::atomic<bool> leaves = false;   ///< says in all its answers that it leaves
+    std::atomic<int> pause_s = 0;       ///< names this Retry-After when it refuses; 0: none
+    std::atomic<std::int64_t> born = 1; ///< start of its incarnation, in its membership record
+    std::string data_centre = "dc-0";   ///< in its membership record
 
 private:
     using response = std::shared_ptr<transport::response_stream>;
--- a/Tests/gateway/gateway_fixture.cxx
+++ b/Tests/gateway/gateway_fixture.cxx
@@ -24,6 +24,7 @@
     names.signature = "X-Signature";
     names.not_run = "X-Not-Run";
     names.rate_limit = "X-Limit";
+    names.leaving = "X-Leaving";
     names.last_event_id = "Last-Event-Id";
     return names;
 }
--- a/Tests/gateway/limited_upstreams.cxx
+++ b/Tests/gateway/limited_upstreams.cxx
@@ -31,6 +31,12 @@
     this->behaviours_[index].status = status;
 }
 
+void limited_upstreams::set_headers(std::size_t index, const std::string& headers)
+{
+    const std::scoped_lock lock(this->mutex_);
+    this->behaviours_[index].headers = headers;
+}
+
 std::vector<time_point> limited_upstreams::arrivals(std::size_t index) const
 {
     const std::scoped_lock lock(this->mutex_);
@@ -63,9 +69,10 @@
     const std::scoped_lock lock(this->mutex_);
     auto& it = this->behaviours_[index];
     it.arrivals.push_back(this->fixture_.clock.now());
-    connection.send(
-        "HTTP/1.1 " + it.status + "\r\nX-Id: r-1\r\nX-Signature: s\r\nConnection: close\r\n" +
-        (it.limit.empty() ? "" : "X-Limit: " + it.limit + "\r\n") + "Content-Length: 2\r\n\r\nok");
+    connection.send("HTTP/1.1 " + it.status +
+                    "\r\nX-Id: r-1\r\nX-Signature: s\r\nConnection: close\r\n" +
+                    (it.limit.empty() ? "" : "X-Limit: " + it.limit + "\r\n") + it.headers +
+                    "Content-Length: 2\r\n\r\nok");
 }
 
 std::size_t busiest_window(const std::vector<time_point>& arrivals, time_point since,
--- a/Tests/gateway/limited_upstreams.h
+++ b/Tests/gateway/limited_upstreams.h
@@ -29,12 +29,17 @@
     /// @param status status line of its answers from now on
     void set_status(std::size_t index, const std::string& status);
 
+    /// @param index of the upstream
+    /// @param headers further header lines of its answers from now on, each with CRLF
+    void set_headers(std::size_t index, const std::string& headers);
+
     /// @return when requests reached an upstream
     [[nodiscard]] std::vector<time_point> arrivals(std::size_t index) const;
 
 private:
     struct behaviour {
         std::string limit;
+        std::string headers;
         std::string status = "200 OK";
         std::vector<time_point> arrivals;
     };
