--- a/Tests/policy/test_upstream_notices.cxx
+++ b/Tests/policy/test_upstream_notices.cxx
@@ -19,6 +19,7 @@
 struct noticed_service {
     explicit noticed_service(unsigned count) : scheduler({}, 1)
     {
+        this->entries.reserve(count);
         for (unsigned n = 0; n < count; ++n) {
             model::upstream_entry entry;
             entry.id = "u" + std::to_string(n);
@@ -33,6 +34,7 @@
     void update()
     {
         std::vector<std::uint64_t> incarnations;
+        incarnations.reserve(this->entries.size());
         for (const auto& entry : this->entries) {
             incarnations.push_back(model::incarnation_hash(entry));
         }
