--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -494,6 +494,10 @@
                            {"state", !entry            ? "removed"
                                      : entry->draining ? "draining"
                                                        : "ready"},
+                           {"group", entry && entry->group ? entry->group->group : ""},
+                           {"group_size", static_cast<std::int64_t>(
+                                              entry && entry->group ? entry->group->size : 0)},
+                           {"group_open", entry && entry->group && entry->group->open},
                            {"from_restored_copy", origin == policy::change_origin::restored_copy}});
     }
     this->update_upstreams();
