policy: Leave out the ranks of an incomplete group while another group is complete

Cause: entries state whether a group is open; the scheduler ignored it. Ranks of an incomplete group refuse what they get, run nothing and so have the lowest load: they attracted requests, each of which used up an attempt. Ruled out: leaving them out always; entries lag, and a single group would be used late after each crash. Test: upstream_scheduler/ranks_of_an_incomplete_group_get_nothing_beside_a_complete_one; red before.

--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -110,6 +110,9 @@
         it.listed = true;
         ids.push_back(id);
     }
+    this->has_open_group_ = std::ranges::any_of(upstreams, [](const model::upstream_entry& entry) {
+        return entry.group && entry.group->open && !entry.draining && !entry.evacuated;
+    });
     std::erase_if(this->upstreams_,
                   [](const auto& it) { return !it.second.listed && it.second.own_running == 0; });
     this->outliers_.set_members(ids);
@@ -406,7 +409,7 @@
 {
     const bool is_any_idle = std::ranges::any_of(this->upstreams_, [this, now](const auto& it) {
         return it.second.running() == 0 && this->accepts_requests(it.second) &&
-               !this->paused_until(it.second, now);
+               !this->paused_until(it.second, now) && !this->is_out_of_service(it.second);
     });
     return is_any_idle &&
            this->has_capacity(priority, std::numeric_limits<double>::infinity(), now);
@@ -420,7 +423,8 @@
     double running = 0;
     for (const auto& [id, it] : this->upstreams_) {
         // What a limited or pausing upstream may not take is not left to the others.
-        if (this->accepts_requests(it) && !this->is_limited(it) && !this->paused_until(it, now)) {
+        if (this->accepts_requests(it) && !this->is_limited(it) && !this->paused_until(it, now) &&
+            !this->is_out_of_service(it)) {
             capacity += std::min(per_upstream, static_cast<double>(it.entry.slots));
             running += it.running();
         }
@@ -487,9 +491,9 @@
     const bool is_within_limits =
         it.running() < limit &&
         it.prefilling_tokens + request.prompt_tokens <= this->max_prefill_tokens_;
-    return this->accepts_requests(it) && it.backoff_until <= now && !this->paused_until(it, now) &&
-           this->is_permitted(it, now) && (it.running() == 0 || is_within_limits) &&
-           !this->outliers_.is_ejected(id) &&
+    return this->accepts_requests(it) && !this->is_out_of_service(it) && it.backoff_until <= now &&
+           !this->paused_until(it, now) && this->is_permitted(it, now) &&
+           (it.running() == 0 || is_within_limits) && !this->outliers_.is_ejected(id) &&
            std::ranges::find(request.excluded, id) == request.excluded.end();
 }
 
--- a/Source/policy/upstream_scheduler.h
+++ b/Source/policy/upstream_scheduler.h
@@ -217,6 +217,14 @@
     /// @return whether any upstream with a rate limit takes a request now
     [[nodiscard]] bool has_permit(time_point now) const;
     [[nodiscard]] double completion_rate(time_point now) const;
+    /// @return whether an upstream belongs to a group that lacks ranks while another group has all:
+    /// it refuses requests until the group is complete. If all groups lack ranks, one may have
+    /// become complete before its entries say so.
+    [[nodiscard]] bool is_out_of_service(const upstream_state& it) const
+    {
+        return this->has_open_group_ && it.entry.group && !it.entry.group->open;
+    }
+
     /// @return whether upstreams are listed and the data centres of all are evacuated
     [[nodiscard]] bool is_evacuated() const;
 
@@ -261,6 +269,7 @@
     shared_rate_limits* rate_limits_ = nullptr;
     const upstream_notices* notices_ = nullptr;
     cold_start* cold_ = nullptr;
+    bool has_open_group_ = false;            ///< a group of listed upstreams has all its ranks
     std::vector<scheduled_request> waiting_; ///< sorted by serving_order()
     std::map<unsigned, double> credits_;     ///< earned requests by priority; see starvation_credit
     double max_mean_running_;
--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -315,3 +315,28 @@
     scheduler.push(make_request(9));
     cr_assert(scheduler.take_ready(start + 7s).empty(), "one failure ejects it again");
 }
+
+// Guards against requests that are sent to ranks of an incomplete group, which refuse them, beside
+// a complete one; and against a service that waits for entries while its only group is complete
+// again. Load: one of two groups has lost a rank, and its ranks are the idle ones.
+Test(upstream_scheduler, ranks_of_an_incomplete_group_get_nothing_beside_a_complete_one)
+{
+    upstream_scheduler scheduler({}, 1);
+    std::vector<model::upstream_entry> upstreams;
+    for (unsigned n = 0; n < 4; ++n) {
+        upstreams.push_back(make_upstream("u" + std::to_string(n)));
+        upstreams.back().group = model::group_membership{n < 2 ? "a" : "b", 1, n % 2, 2, n >= 2};
+    }
+    scheduler.set_upstreams(upstreams, "dc-1");
+    const auto sent = send(scheduler, 8);
+    cr_assert(sent.size() == 8);
+    for (const auto& it : sent) {
+        cr_assert(it.upstream == hash64("u2") || it.upstream == hash64("u3"));
+    }
+    cr_assert(send(scheduler, 1).empty(), "the complete group is full");
+    for (auto& upstream : upstreams) {
+        upstream.group->open = false;
+    }
+    scheduler.set_upstreams(upstreams, "dc-1");
+    cr_assert(send(scheduler, 1).size() >= 1);
+}
