--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -338,5 +338,5 @@
         upstream.group->open = false;
     }
     scheduler.set_upstreams(upstreams, "dc-1");
-    cr_assert(send(scheduler, 1).size() >= 1);
+    cr_assert(!send(scheduler, 1).empty());
 }
