gateway, policy: Mean load of complete groups only; cold upstreams known before the first configuration

Ranks of an incomplete group run nothing; in the mean they made the others look less loaded, so the work factor was overestimated. Entries that were listed before the first configuration were not taken as cold.

--- a/Source/gateway/service_dispatcher.cxx
+++ b/Source/gateway/service_dispatcher.cxx
@@ -172,7 +172,14 @@
         cold = {found->second.cold_requests_per_second, found->second.cold_time,
                 this->cold_bounds_.overage, this->cold_bounds_.slack};
     }
+    const bool was_limited = this->cold_.is_limited();
     this->cold_.configure(cold);
+    if (!was_limited) {
+        // The list of upstreams may have come before the first configuration.
+        for (const auto& [key, it] : this->upstreams_) {
+            this->on_cold(model::incarnation_hash(it.entry), it.entry.cold_time);
+        }
+    }
     if (found == config.services.end() || !found->second.engine) {
         this->step_limit_.configure({}, {});
         return;
--- a/Source/policy/upstream_scheduler.cxx
+++ b/Source/policy/upstream_scheduler.cxx
@@ -347,8 +347,9 @@
     double sum = 0;
     double count = 0;
     for (const auto& [id, it] : this->upstreams_) {
-        // An upstream at its rate limit runs few requests, and doesn't show what the others bear.
-        if (!any_unlimited || !this->is_limited(it)) {
+        // An upstream at its rate limit, or of an incomplete group, runs few requests or none, and
+        // doesn't show what the others bear.
+        if (!this->is_out_of_service(it) && (!any_unlimited || !this->is_limited(it))) {
             sum += it.running();
             count += it.listed ? 1 : 0;
         }
--- a/Source/transport/http_server.cxx
+++ b/Source/transport/http_server.cxx
@@ -788,7 +788,7 @@
     this->parser_.reset();
     this->set_use(policy::connection_use::answering);
     this->count_request(copies_of_handled_request * message.body().size(), true);
-    if (this->buffer_.size() == 0) {
+    if (this->buffer_.size() == 0 && this->buffer_.capacity() > read_buffer_bytes) {
         this->buffer_.shrink_to_fit();
     }
     const auto text = [](boost::beast::string_view view) {
--- a/Tests/policy/test_upstream_scheduler.cxx
+++ b/Tests/policy/test_upstream_scheduler.cxx
@@ -334,6 +334,7 @@
         cr_assert(it.upstream == hash64("u2") || it.upstream == hash64("u3"));
     }
     cr_assert(send(scheduler, 1).empty(), "the complete group is full");
+    cr_assert(scheduler.mean_running() == 4, "the mean is that of the complete group");
     for (auto& upstream : upstreams) {
         upstream.group->open = false;
     }
