commands: check-config reviews a configuration before it is sent

Errors (services that are not defined, timeouts of 0, versions that do not rise), entries that can never match or are never used, limits of which one makes another useless, and what differs from the version in force.

--- a/Source/commands/command_line.cxx
+++ b/Source/commands/command_line.cxx
@@ -9,6 +9,7 @@
 #include "commands/agent_command.h"
 #include "commands/apply_command.h"
 #include "commands/check_command.h"
+#include "commands/check_config_command.h"
 #include "commands/entry_command.h"
 #include "commands/gateway_command.h"
 #include "commands/get_command.h"
@@ -34,6 +35,7 @@
     agent_command::add_to(app);
     apply_command::add_to(app);
     check_command::add_to(app);
+    check_config_command::add_to(app);
     entry_command::add_to(app);
     gateway_command::add_to(app);
     get_command::add_to(app);
--- a/Tests/commands/test_config_commands.cxx
+++ b/Tests/commands/test_config_commands.cxx
@@ -233,3 +233,33 @@
     cr_assert(run_command({"check"}).code == 2);
     cr_assert(run_command({"check", "/no/such/file"}).code == 1);
 }
+
+// Guards against a configuration of the platform that is sent with a mistake that a check shows.
+Test(config_commands, check_config_reviews_a_configuration_before_it_is_sent)
+{
+    const auto record = [](unsigned version, const std::string& service, unsigned target_ms) {
+        return fmt::format(
+            R"({{"version":{},"routes":[{{"name":"r","host":"h.example","pathPrefix":"/a/",)"
+            R"("kind":"safe","timeoutMs":2000,"targetLatencyMs":{},"service":"{}"}}],)"
+            R"("services":[{{"name":"desk"}}]}})",
+            version, target_ms, service);
+    };
+    const temporary_file current(record(3, "desk", 500));
+    const temporary_file sound(record(4, "desk", 900));
+    const temporary_file broken(record(3, "gone", 5000));
+    auto result = run_command({"check-config", sound.path, "--in-force", current.path});
+    cr_assert(result.code == 0);
+    cr_assert(result.out.find("difference: route r: latency target ms 500 -> 900") !=
+              std::string::npos);
+    result = run_command({"check-config", broken.path, "--in-force", current.path});
+    cr_assert(result.code == 1);
+    for (const auto* text : {"error: route r: service gone is not defined",
+                             "contradiction: route r: the latency target",
+                             "unreachable: service desk: no route uses it",
+                             "error: configuration: version 3 is not above 3"}) {
+        cr_assert(result.out.find(text) != std::string::npos, "%s", text);
+    }
+    const temporary_file no_record("routes: []");
+    cr_assert(run_command({"check-config", no_record.path}).code == 1);
+    cr_assert(run_command({"check-config"}).code == 2);
+}
