gateway: Give configurations a larger part of unread replies than queries

Many gateways fetch a configuration of some hundred KB at once; a quarter of the callers' part, shared with the other addresses, could close some of them.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -54,8 +54,10 @@
 
 // Bodies at the addresses for queries, which have none.
 constexpr std::size_t max_query_bytes = 4U * 1024U;
-// Listeners for readiness, directory, control and metrics share what callers' replies may hold.
-constexpr std::size_t listeners_for_queries = 4;
+// Parts of what callers' replies may hold: for configurations, which many gateways may fetch at
+// once, and for each of the other addresses.
+constexpr std::size_t control_reply_part = 2;
+constexpr std::size_t query_reply_part = 8;
 
 // Time to send the last bytes of a response.
 constexpr auto flush_time = std::chrono::milliseconds(200);
@@ -170,7 +172,7 @@
 
 void gateway_process::open_listener(
     std::unique_ptr<transport::http_server>& server, const std::string& address,
-    std::size_t max_connections,
+    std::size_t max_connections, std::size_t reply_part,
     std::function<transport::http_response(const transport::http_request&)> make_response)
 {
     if (address.empty()) {
@@ -182,8 +184,7 @@
     options.max_connections = max_connections;
     options.max_request_bytes = max_connections * max_query_bytes;
     options.max_reply_bytes =
-        policy::divide(this->settings_.limits, options.max_header_bytes).reply_bytes /
-        listeners_for_queries;
+        policy::divide(this->settings_.limits, options.max_header_bytes).reply_bytes / reply_part;
     server = std::make_unique<transport::http_server>(
         this->context_, options,
         [make_response = std::move(make_response)](
@@ -198,19 +199,20 @@
     const auto held =
         policy::divide(this->settings_.limits, transport::http_server_options{}.max_header_bytes);
     this->open_listener(this->readiness_server_, this->settings_.readiness_address, held.operations,
-                        [this](const auto&) {
+                        query_reply_part, [this](const auto&) {
                             return this->is_ready() ? text_response(200, "ready\n")
                                                     : text_response(503, "not ready\n");
                         });
     this->open_listener(this->directory_server_, this->settings_.directory_address, held.directory,
-                        [this](const auto& request) {
+                        query_reply_part, [this](const auto& request) {
                             return this->adapter_.make_directory_response(request,
                                                                           this->ready_gateways());
                         });
     this->open_listener(
-        this->control_server_, this->settings_.control_address, held.operations,
+        this->control_server_, this->settings_.control_address, held.operations, control_reply_part,
         [this](const auto& request) { return this->make_control_response(request); });
     this->open_listener(this->metrics_server_, this->settings_.metrics_address, held.operations,
+                        query_reply_part,
                         [this](const auto&) { return text_response(200, this->metrics_text()); });
     this->caller_server_ = std::make_unique<transport::http_server>(
         this->context_, this->make_caller_options(),
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -184,9 +184,10 @@
     [[nodiscard]] transport::http_server_options make_caller_options() const;
 
     /// @param max_connections connections that the listener accepts
+    /// @param reply_part its unread replies may hold this part of what those of callers may
     void open_listener(
         std::unique_ptr<transport::http_server>& server, const std::string& address,
-        std::size_t max_connections,
+        std::size_t max_connections, std::size_t reply_part,
         std::function<transport::http_response(const transport::http_request&)> make_response);
 
     gateway_settings settings_;
