--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -275,6 +275,8 @@
     std::this_thread::sleep_for(100ms);
     cr_assert(!site.gateway.poll_exit_status().has_value());
     const auto text = fakes::read_file(moved);
+    // The reload reads the settings again; opening the pipe a second time would wait for a writer.
+    std::filesystem::rename(moved, settings);
     cr_assert(::write(pipe, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
     ::close(pipe);
     std::optional<int> status;
