gateway: One pair of functions for ages in messages between gateways

peer_exchange wrote again what rate_limit_codec had: the clamped age of a time, in milliseconds, and back. Behaviour and limits are the same.

--- a/Source/gateway/peer_exchange.cxx
+++ b/Source/gateway/peer_exchange.cxx
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/message_age.h"
 #include "gateway/quarantine_codec.h"
 #include "gateway/rate_limit_codec.h"
 #include "model/wire.pb.h"
@@ -18,22 +19,6 @@
 // Characters of an address that cannot be read which are written to the log.
 constexpr std::size_t max_logged_address = 40;
 
-// Larger ages are sent, and taken, as this one.
-constexpr std::chrono::milliseconds max_age = std::chrono::hours(24);
-
-std::uint64_t to_age(time_point at, time_point now)
-{
-    const auto age = std::clamp<duration>(now - at, duration::zero(), max_age);
-    return static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
-}
-
-time_point from_age(std::uint64_t age_ms, time_point now)
-{
-    return now -
-           std::chrono::milliseconds(std::min(age_ms, static_cast<std::uint64_t>(max_age.count())));
-}
-
 std::string encode(const policy::peer_heartbeat& heartbeat,
                    const std::vector<std::string>& live_addresses, time_point now)
 {
@@ -65,8 +50,8 @@
     }
     if (heartbeat.store) {
         auto& store = *message.mutable_store();
-        store.set_since_ago_ms(to_age(heartbeat.store->answering_since, now));
-        store.set_answered_ago_ms(to_age(heartbeat.store->answered_at, now));
+        store.set_since_ago_ms(to_age_ms(heartbeat.store->answering_since, now));
+        store.set_answered_ago_ms(to_age_ms(heartbeat.store->answered_at, now));
         store.set_had_failure(heartbeat.store->had_failure);
     }
     message.set_operator_epoch(heartbeat.operator_position.epoch);
@@ -110,8 +95,8 @@
     read_rate_limits(message, now, heartbeat);
     heartbeat.leaving = {message.leaving().begin(), message.leaving().end()};
     if (message.has_store()) {
-        heartbeat.store = policy::store_report{from_age(message.store().since_ago_ms(), now),
-                                               from_age(message.store().answered_ago_ms(), now),
+        heartbeat.store = policy::store_report{from_age_ms(message.store().since_ago_ms(), now),
+                                               from_age_ms(message.store().answered_ago_ms(), now),
                                                message.store().had_failure()};
     }
     heartbeat.operator_position = {message.operator_epoch(), message.operator_position()};
--- a/Source/gateway/rate_limit_codec.cxx
+++ b/Source/gateway/rate_limit_codec.cxx
@@ -1,17 +1,13 @@
 #include "gateway/rate_limit_codec.h"
 
-#include <algorithm>
-#include <chrono>
 #include <cmath>
-#include <cstdint>
+
+#include "gateway/message_age.h"
 
 namespace medlaryoke::gateway {
 
 namespace {
 
-// A statement of greater age is not sent. A larger number in a message is taken for this one.
-constexpr std::chrono::milliseconds max_age = std::chrono::hours(24);
-
 bool is_rate(double value)
 {
     return std::isfinite(value) && value >= 0;
@@ -28,9 +24,7 @@
         if (statement.per_second) {
             it.set_per_second(*statement.per_second);
         }
-        const auto age = std::clamp<duration>(now - statement.stated_at, duration::zero(), max_age);
-        it.set_ago_ms(static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+        it.set_ago_ms(to_age_ms(statement.stated_at, now));
     }
     for (const auto& permit : heartbeat.permits) {
         auto& it = *message.add_permit();
@@ -57,9 +51,7 @@
         if (it.has_per_second()) {
             statement.per_second = it.per_second();
         }
-        const std::chrono::milliseconds age(
-            std::min(it.ago_ms(), static_cast<std::uint64_t>(max_age.count())));
-        statement.stated_at = now - age;
+        statement.stated_at = from_age_ms(it.ago_ms(), now);
         heartbeat.limits.push_back(statement);
     }
     for (const auto& it : message.permit()) {
