gateway: One count of the peers with lower names

The wait of a read and the choice of the gateway that saves and tests quarantines counted them each by themselves. Behaviour is the same.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -301,11 +301,17 @@
 duration gateway_process::next_read_wait(bool after_change) const
 {
     const auto alive = this->peer_exchange_->table().alive_peers(this->clock_.now());
-    const auto lower = std::ranges::count_if(alive, [this](const policy::peer_heartbeat* peer) {
-        return peer->instance < this->settings_.instance;
-    });
-    return policy::read_wait(this->settings_.reads, static_cast<std::size_t>(lower),
-                             alive.size() + 1, after_change);
+    return policy::read_wait(this->settings_.reads, this->lower_peers(), alive.size() + 1,
+                             after_change);
+}
+
+std::size_t gateway_process::lower_peers() const
+{
+    const auto alive = this->peer_exchange_->table().alive_peers(this->clock_.now());
+    return static_cast<std::size_t>(
+        std::ranges::count_if(alive, [this](const policy::peer_heartbeat* peer) {
+            return peer->instance < this->settings_.instance;
+        }));
 }
 
 void gateway_process::read_all_again()
@@ -319,17 +325,10 @@
 
 void gateway_process::keep_quarantines()
 {
-    const auto lower_peers = [this] {
-        const auto alive = this->peer_exchange_->table().alive_peers(this->clock_.now());
-        return static_cast<std::size_t>(
-            std::ranges::count_if(alive, [this](const policy::peer_heartbeat* peer) {
-                return peer->instance < this->settings_.instance;
-            }));
-    };
     this->quarantine_store_ = std::make_shared<quarantine_store>(
         this->context_, this->clock_, *this->store_, this->adapter_.quarantine_topic,
-        this->gateway_.guard(), lower_peers);
-    this->gateway_.guard().set_tester([lower_peers] { return lower_peers() == 0; });
+        this->gateway_.guard(), [this] { return this->lower_peers(); });
+    this->gateway_.guard().set_tester([this] { return this->lower_peers() == 0; });
     this->gateway_.on_quarantined(
         [this](const auto& parts) { this->quarantine_store_->save(parts); });
     this->quarantine_store_->load();
--- a/Source/gateway/gateway_process.h
+++ b/Source/gateway/gateway_process.h
@@ -126,6 +126,9 @@
     /// @return how long the next read of a topic waits for a record
     [[nodiscard]] duration next_read_wait(bool after_change) const;
 
+    /// @return number of peers that are heard and whose names are lower than that of this gateway
+    [[nodiscard]] std::size_t lower_peers() const;
+
     /// Reads all topics again, because connections to the store may have gone silent.
     void read_all_again();
     void on_config_changes(const std::vector<policy::keyed_record>& changes,
