--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -76,9 +76,13 @@
     if (message.header("Transfer-Encoding") or "").lower() == "chunked":
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0].strip() or b"0", 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
             if size == 0:
-                await reader.readline()
+                while (await reader.readline()).strip():
+                    pass
                 return body
             body += await reader.readexactly(size)
             await reader.readline()
