--- a/review/8/case.py
+++ b/review/8/case.py
@@ -3,19 +3,20 @@
 import asyncio
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import stand_ins_2 as stand_ins  # noqa: E402
 
-ORDERS = 40
-FAILED_SHARE = 4  # one request in so many fails at the engine
+ORDERS = 60
+FAILED = (2, 5)  # two in five requests fail at the engine
 PROMISES = (408, 421, 429, 503)
 
 
 class FailingEngine(stand_ins.Engine):
-    """Fails part of the requests that it runs with 503, as its own downstream is away."""
+    """May fail part of the requests that it runs with 503, as its own downstream is away."""
 
     fails = False
 
@@ -24,7 +25,7 @@
             return True
         self.begin_run(request)
         await asyncio.sleep(self.work_s)
-        fails = self.fails and len(self.runs) % FAILED_SHARE == 0
+        fails = self.fails and len(self.runs) % FAILED[1] < FAILED[0]
         status = 503 if fails else 200
         body = b"failed after the order was written" if fails else b"confirmed"
         writer.write(stand_ins.encode_response(status, self.answer_headers(request), body))
@@ -64,11 +65,12 @@
         for engine in engines:
             await deployment.add_engine(engine)
         await asyncio.sleep(4)
-        for engine in engines:
-            engine.fails = has_trouble
+        engines[0].fails = has_trouble
+        started_at = time.monotonic()
         promised = []
         for number in range(ORDERS):
             promised += await place_order(deployment, number)
+        deployment.record.write("engine failed for", s=round(time.monotonic() - started_at, 1))
         run = [it for it in promised if any(it in engine.runs for engine in engines)]
         deployment.record.write("result", promised_not_run=promised, that_ran=run)
         print(f"{ORDERS} orders, {len(promised)} attempts answered as not run, {len(run)} had run")
