--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")"
 test -x ../target/Source/commands/medlaryoke
-python3 - stand_ins_2.py [6-9]/case.py <<'END'
+python3 - stand_ins_2.py [6-9]/case.py 10/case.py <<'END'
 import ast
 import sys
 
