platform: Read entries of upstreams whole or not at all

Cause: the reader of the list of upstreams took 0 for a missing rank, so an entry of another writer became that of rank 0 at the address of rank 7. Ruled out: late or lost orders and a second coordinator; the record shows one token and an answer to each order, and rank 7 got each order twice. Change: no field has a default. A missing field, one of another type or out of range makes the entry one of another writer, which names no upstream. coldRemainingMs may have a fraction, which made the whole entry unusable. Lists of numbers are checked item by item; fractions, booleans and negative numbers were converted. What real entries hold was read from the store on three sites before: all fields are there, plain services lack group, size, stage and models. Tests: platform_records/incomplete_entries_name_no_upstream takes each field of a whole entry away, or gives it another type; red before ("/coldRemainingMs" of another type was read), as is upstream_entries, whose invalid values now each stand in an entry that is whole otherwise. The tests on nested and damaged records begin from whole entries for the same reason: from an incomplete one they would pass by that alone. The soak's entries are whole.

--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -156,6 +156,9 @@
               nlohmann::json{{"service", service_name},
                              {"address", address},
                              {"zone", data_centre},
+                             {"version", "v1"},
+                             {"coldRemainingMs", 0},
+                             {"sequence", 1},
                              {"born", born},
                              {"slots", 8},
                              {"state", state}}
--- a/Tests/Soak/test_crowds.cxx
+++ b/Tests/Soak/test_crowds.cxx
@@ -97,6 +97,10 @@
                         json{{"service", "desk"},
                              {"address", this->upstream.address()},
                              {"zone", "dc-0"},
+                             {"version", "v1"},
+                             {"coldRemainingMs", 0},
+                             {"sequence", 1},
+                             {"born", 1},
                              {"slots", 100},
                              {"state", "ready"}}
                             .dump());
--- a/Tests/platform/test_records.cxx
+++ b/Tests/platform/test_records.cxx
@@ -1,8 +1,11 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 
 #include "base/error.h"
 #include "platform/caller_directory.h"
@@ -25,6 +28,16 @@
               "fencingRequired":true},
     "platform":{"address":"10.9.0.1:8"}})";
 
+const std::string rank_entry_text =
+    R"({"service":"a","address":"10.4.0.1:80","zone":"dc-b","version":"v1","slots":12,
+        "state":"ready","coldRemainingMs":250.5,"sequence":4,"born":1778691982500,
+        "stage":"unified","models":[{"name":"m","version":1,"adapters":[]}],
+        "group":{"name":"g","epoch":3,"rank":2,"state":"broken"},"size":16})";
+
+const std::string plain_entry_text =
+    R"({"service":"b","address":"10.4.0.2:80","zone":"dc-b","version":"v1","slots":6,
+        "state":"draining","coldRemainingMs":0,"sequence":9,"born":1778691982500})";
+
 const std::string config_text = R"({"version":7,"routes":[
     {"name":"s","host":"h.example","pathPrefix":"/s/","kind":"streaming","timeoutMs":8000,
      "targetLatencyMs":400,"priority":1,"trafficSplit":[{"service":"a","weight":90},
@@ -111,30 +124,81 @@
 // Guards against invalid entries that throw, or that are accepted as upstreams.
 Test(platform_records, upstream_entries)
 {
-    const std::string text =
-        R"({"service":"a","address":"10.4.0.1:80","zone":"dc-b","slots":12,"state":"ready",
-            "born":1778691982500,"group":{"name":"g","epoch":3,"rank":2,"state":"broken"},"size":16})";
-    const auto entry = decode_upstream("i-1", text, 7500);
+    const auto entry = decode_upstream("i-1", rank_entry_text, 7500);
     cr_assert(entry && entry->id == "i-1" && entry->slots == 12 && !entry->draining);
     cr_assert(entry->agent_address == "10.4.0.1:7500" && entry->started_at == 1778691982500);
     cr_assert(entry->group->rank == 2 && entry->group->size == 16 && !entry->group->open);
-    for (const std::string bad :
-         {"", "\xff\x00", "[]", "{}", R"({"service":"a"})",
-          R"({"service":1,"address":"a:1","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"a","address":"a:1","zone":"z","slots":1,"state":"asleep"})",
-          R"({"service":"a","address":"a:1","zone":"z","slots":"x","state":"ready"})",
-          R"({"service":"a","address":"nowhere","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:99999","zone":"z","slots":1,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":-1,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":0,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1.5,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":true,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1e30,"state":"ready"})",
-          R"({"service":"a","address":"10.4.0.1:80","zone":"z","slots":1,"state":"ready",
-              "group":{"name":"g","rank":0},"size":4294967295})"}) {
+    cr_assert(entry->group->group == "g" && entry->group->epoch == 3 && entry->cold_time == 251ms);
+    cr_assert(decode_upstream("i-1", plain_entry_text, 7500).has_value());
+    for (const std::string bad : {"", "\xff\x00", "[]", "{}", R"({"service":"a"})"}) {
         cr_assert(!decode_upstream("i-2", bad, 1), "%s", bad.c_str());
     }
+    const std::vector<std::pair<std::string, nlohmann::json>> bad_values{
+        {"/service", 1},
+        {"/service", ""},
+        {"/state", "asleep"},
+        {"/address", "nowhere"},
+        {"/address", "10.4.0.1"},
+        {"/address", "10.4.0.1:99999"},
+        {"/slots", "x"},
+        {"/slots", -1},
+        {"/slots", 0},
+        {"/slots", 1.5},
+        {"/slots", true},
+        {"/slots", 1e30},
+        {"/born", 1.5},
+        {"/sequence", -1},
+        {"/size", 4294967295},
+        {"/size", 2},
+        {"/group/rank", -1},
+        {"/group/rank", 16},
+        {"/group/rank", 2.5},
+        {"/group/state", "asleep"},
+        {"/group/name", ""},
+        {"/models", "m"},
+        {"/stage", ""},
+    };
+    for (const auto& [field, value] : bad_values) {
+        auto root = nlohmann::json::parse(rank_entry_text);
+        root.at(nlohmann::json::json_pointer(field)) = value;
+        cr_assert(!decode_upstream("i-2", root.dump(), 1), "%s", root.dump().c_str());
+    }
+}
+
+// Guards against an entry of another writer that moves a rank, or sends requests to an engine of
+// another service: each field that is missing or of another type makes the whole entry unusable.
+Test(platform_records, incomplete_entries_name_no_upstream)
+{
+    const auto check = [](const nlohmann::json& root, const std::string& field) {
+        cr_assert(!decode_upstream("i-1", root.dump(), 7500), "%s", field.c_str());
+    };
+    for (const auto* text : {&rank_entry_text, &plain_entry_text}) {
+        const auto whole = nlohmann::json::parse(*text);
+        const auto fields = whole.flatten();
+        for (const auto& [field, value] : fields.items()) {
+            const nlohmann::json::json_pointer pointer(field);
+            // Nothing is read from the models.
+            if (field.starts_with("/models")) {
+                continue;
+            }
+            auto root = whole;
+            root.at(pointer) = nullptr;
+            check(root, field);
+            root.at(pointer) = nlohmann::json::array({value});
+            check(root, field);
+            root.at(pointer) = value.is_string() ? nlohmann::json(1) : nlohmann::json("1");
+            check(root, field);
+            const bool is_optional = field == "/stage"; // plain services do not state it
+            if (!is_optional) {
+                root = whole;
+                root.at(pointer.parent_pointer()).erase(pointer.back());
+                check(root, field);
+            }
+        }
+    }
+    auto without_group = nlohmann::json::parse(rank_entry_text);
+    without_group.erase("group");
+    check(without_group, "group");
 }
 
 // Guards against a successful response without addresses.
@@ -154,8 +218,8 @@
     constexpr std::size_t depth = 1'000'000;
     const auto nested = std::string(depth, '[') + std::string(depth, ']');
     for (const std::string field : {"state", "slots", "group", "new"}) {
-        auto text = std::string(R"({"service":"a","address":"10.4.0.1:80","zone":"z",")");
-        text.append(field).append("\":").append(nested).append("}");
+        auto text = plain_entry_text.substr(0, plain_entry_text.rfind('}'));
+        text.append(",\"").append(field).append("\":").append(nested).append("}");
         cr_assert(!decode_upstream("i-1", text, 7340));
     }
     cr_assert_throw(decode_configuration(R"({"version":1,"routes":)" + nested + "}"), error);
@@ -165,11 +229,8 @@
 // Guards against damaged records that end the process: each either can be read or is reported.
 Test(platform_records, damaged_records_are_reported)
 {
-    const std::string entry_text =
-        R"({"service":"a","address":"10.4.0.1:80","zone":"dc-b","slots":12,"state":"ready","born":5,)"
-        R"("group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":16})";
     const std::string report_text =
-        R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"step":812,"map":3,)"
+        R"({"group":{"name":"g","epoch":1,"rank":0,"state":"open"},"size":2,"step":812,"map":3,)"
         R"("prepared":{"version":4},"armed":null,"held":900,"pace":1.5})";
     std::mt19937 random(1);
     const auto damage = [&random](std::string text) {
@@ -200,7 +261,7 @@
         }
     };
     for (unsigned n = 0; n < 30'000; ++n) {
-        const auto entry = damage(entry_text);
+        const auto entry = damage(rank_entry_text);
         const auto report = damage(report_text);
         const auto config = damage(config_text);
         const auto settings = damage(settings_text);
