policy, experts: One engine a rank, and reports that name the rank they are of

Cause: of two entries for one rank the last key won, two ranks could have one address, and an entry with a smaller size cut the list of ranks, so that a part of a group switched alone. Reports did not say which engine they are of, so one engine's report could count for two ranks. Change: policy::find_rosters decides which engine is a rank: the one that started later, for a rank and for an address; what that does not decide leaves the group as it was and is logged. Entries of a service with experts that state no group are left out. Reports name group, rank and size, over the agent and directly, and count for no other rank; no order is sent before each rank has reported. Ruled out as the way: the epoch, which is the group's and the same in both entries.

--- a/Source/experts/group_balancer.cxx
+++ b/Source/experts/group_balancer.cxx
@@ -112,8 +112,27 @@
     }
 }
 
-void group_balancer::on_poll_reply(unsigned rank, bool with_counts, const rank_reply& reply)
+const rank_reply& group_balancer::checked(unsigned rank, const rank_reply& reply)
 {
+    static const rank_reply unanswered{policy::order_result::unanswered, {}, {}, {}};
+    const auto& report = reply.report;
+    if (!report || (report->group == this->name_ && report->rank == rank &&
+                    report->size == this->shape_.ranks)) {
+        return reply;
+    }
+    this->log_.sample(log_level::warning, "another engine answers for a rank",
+                      {{"group", this->name_},
+                       {"rank", static_cast<std::int64_t>(rank)},
+                       {"address", this->addresses_[rank].engine},
+                       {"reported_group", report->group},
+                       {"reported_rank", static_cast<std::int64_t>(report->rank)},
+                       {"reported_size", static_cast<std::int64_t>(report->size)}});
+    return unanswered;
+}
+
+void group_balancer::on_poll_reply(unsigned rank, bool with_counts, const rank_reply& received)
+{
+    const auto& reply = this->checked(rank, received);
     auto& it = this->ranks_[rank];
     it.poll_pending = false;
     this->pending_count_replies_ -= with_counts ? 1 : 0;
@@ -462,8 +481,9 @@
 
 void group_balancer::on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
                                       const std::optional<policy::rank_order>& order,
-                                      const rank_reply& reply)
+                                      const rank_reply& received)
 {
+    const auto& reply = this->checked(rank, received);
     auto& it = this->ranks_[rank];
     if (it.pending_rollout == rollout && it.pending_round == round) {
         it.order_pending = false;
--- a/Source/experts/group_balancer.h
+++ b/Source/experts/group_balancer.h
@@ -129,7 +129,13 @@
 
     void tick();
     void poll_ranks();
-    void on_poll_reply(unsigned rank, bool with_counts, const rank_reply& reply);
+
+    /// Checks that a reply comes from the engine of a rank. Whether all ranks are armed is decided
+    /// by their reports, so the report of another engine must not stand in for one of them.
+    /// @return the reply; without result and data if another engine reports
+    const rank_reply& checked(unsigned rank, const rank_reply& reply);
+
+    void on_poll_reply(unsigned rank, bool with_counts, const rank_reply& received);
     void add_counts(rank_state& rank, const std::vector<std::uint64_t>& counts);
     [[nodiscard]] std::optional<policy::rank_report> consistent_report() const;
     [[nodiscard]] policy::group_condition group_condition() const;
@@ -147,7 +153,8 @@
     void advance_rollout();
     void send(unsigned rank, const std::optional<policy::rank_order>& order);
     void on_rollout_reply(std::uint64_t rollout, std::uint64_t round, unsigned rank,
-                          const std::optional<policy::rank_order>& order, const rank_reply& reply);
+                          const std::optional<policy::rank_order>& order,
+                          const rank_reply& received);
     void end_rollout();
     [[nodiscard]] double relative_step_time(double skew) const;
     [[nodiscard]] std::vector<double> rank_slowdowns() const;
--- a/Source/experts/group_coordination.cxx
+++ b/Source/experts/group_coordination.cxx
@@ -1,8 +1,11 @@
 #include "experts/group_coordination.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "policy/group_roster.h"
+
 namespace medlaryoke::experts {
 
 namespace {
@@ -20,30 +23,31 @@
     duration report_lag{};
 };
 
-/// @return the groups whose ranks are all in the list of upstreams, by name
+/// @return the groups in which the engine of each rank is known, by name
 std::map<std::string, group_description>
-find_complete_groups(const std::vector<model::upstream_entry>& upstreams,
-                     const model::route_config& config)
+describe_groups(const std::map<std::string, policy::group_roster>& rosters,
+                const model::route_config& config)
 {
     std::map<std::string, group_description> groups;
-    for (const auto& entry : upstreams) {
-        const auto service = config.services.find(entry.service);
-        if (!entry.group || service == config.services.end() || !service->second.experts ||
-            entry.group->rank >= entry.group->size) {
+    for (const auto& [name, roster] : rosters) {
+        const auto service = config.services.find(roster.service);
+        if (service == config.services.end() || !service->second.experts) {
             continue;
         }
         const auto& layout = *service->second.experts;
-        auto& group = groups[entry.group->group];
-        group.shape = {entry.group->size, layout.sets,  layout.experts,
-                       layout.placements, layout.spare, layout.copy_time};
+        auto& group = groups[name];
+        group.shape = {static_cast<unsigned>(roster.ranks.size()),
+                       layout.sets,
+                       layout.experts,
+                       layout.placements,
+                       layout.spare,
+                       layout.copy_time};
         group.report_lag = layout.report_lag + report_lag_margin;
-        group.ranks.resize(entry.group->size);
-        group.ranks[entry.group->rank] = {entry.address, entry.agent_address};
+        std::ranges::transform(roster.ranks, std::back_inserter(group.ranks),
+                               [](const model::upstream_entry& it) {
+                                   return rank_address{it.address, it.agent_address};
+                               });
     }
-    std::erase_if(groups, [](const auto& it) {
-        return std::ranges::any_of(it.second.ranks,
-                                   [](const auto& rank) { return rank.engine.empty(); });
-    });
     return groups;
 }
 
@@ -60,11 +64,18 @@
 void group_coordination::update(const std::vector<model::upstream_entry>& upstreams,
                                 const model::route_config& config)
 {
-    const auto known = find_complete_groups(upstreams, config);
+    const auto rosters = policy::find_rosters(upstreams);
+    for (const auto& conflict : rosters.conflicts) {
+        this->log_.sample(log_level::warning, "entries of a group contradict each other",
+                          {{"group", conflict.group},
+                           {"upstreams", conflict.upstreams},
+                           {"problem", conflict.problem}});
+    }
+    const auto known = describe_groups(rosters.complete, config);
     for (auto& [name, group] : this->groups_) {
         const auto found = known.find(name);
-        // A group with a missing rank keeps its balancer: perhaps only the rank's lease has
-        // expired.
+        // A group with a missing or disputed rank keeps its balancer: perhaps only the rank's lease
+        // has expired, or another writer added the entry that disputes it.
         if (found != known.end() &&
             (found->second.ranks != group.ranks || found->second.shape != group.shape)) {
             this->end(group);
--- a/Source/experts/rank_messages.cxx
+++ b/Source/experts/rank_messages.cxx
@@ -89,6 +89,9 @@
         answer.set_held(*report.held_step);
     }
     answer.set_pace(report.slowdown);
+    answer.set_group(report.group);
+    answer.set_rank(report.rank);
+    answer.set_size(report.size);
 }
 
 policy::rank_report decode_report(const wire::rank_answer& answer)
@@ -108,6 +111,9 @@
         report.held_step = answer.held();
     }
     report.slowdown = answer.has_pace() ? answer.pace() : 1;
+    report.group = answer.group();
+    report.rank = answer.rank();
+    report.size = answer.size();
     return report;
 }
 
--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -8,6 +8,7 @@
 #include <fmt/ranges.h>
 
 #include "base/error.h"
+#include "policy/group_roster.h"
 #include "transport/error_response.h"
 
 namespace medlaryoke::gateway {
@@ -506,7 +507,11 @@
 
 void gateway_process::update_upstreams()
 {
-    const auto upstreams = this->registry_.upstreams();
+    auto upstreams = this->registry_.upstreams();
+    if (this->config_.active().config) {
+        upstreams =
+            policy::without_unusable_entries(std::move(upstreams), *this->config_.active().config);
+    }
     auto usable = upstreams;
     for (auto& it : usable) {
         it.evacuated = std::ranges::binary_search(this->evacuated_, it.data_centre);
--- a/Source/policy/rank_order.h
+++ b/Source/policy/rank_order.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <variant>
@@ -84,6 +85,9 @@
     std::optional<std::uint64_t> armed_version;    ///< map version of the armed switch
     std::optional<std::uint64_t> held_step;        ///< step that is held
     double slowdown = 1; ///< time the rank takes for its work, relative to a rank at usual speed
+    std::string group;   ///< name of the group to which the engine that reports belongs
+    unsigned rank = 0;   ///< its rank
+    unsigned size = 0;   ///< number of ranks of its group
 
     bool operator==(const rank_report&) const = default;
 };
--- a/Tests/experts/fake_lockstep_engine.h
+++ b/Tests/experts/fake_lockstep_engine.h
@@ -31,6 +31,9 @@
         }
         policy::rank_report report;
         report.step = 7;
+        report.group = "g";
+        report.rank = 2;
+        report.size = 16;
         done(report);
     }
 
--- a/Tests/experts/test_group_balancer.cxx
+++ b/Tests/experts/test_group_balancer.cxx
@@ -92,6 +92,8 @@
     std::atomic<bool> has_even_load = false;
     /// While true, rank 1 does not answer reads of its counts.
     std::atomic<bool> rank_1_withholds_counts = false;
+    /// Rank that engine 0 reports instead of its own.
+    std::optional<unsigned> rank_reported_by_engine_0;
     std::uint64_t step = 10;
     std::vector<rank> ranks{2};
 };
@@ -118,6 +120,11 @@
         {
             const std::scoped_lock lock(this->group_.mutex);
             const auto& it = this->group_.ranks[this->index_];
+            report.group = "g";
+            report.rank = this->index_ == 0
+                              ? this->group_.rank_reported_by_engine_0.value_or(this->index_)
+                              : this->index_;
+            report.size = shape.ranks;
             report.step = this->group_.step;
             report.map_version = it.map;
             report.prepared_version = it.prepared;
@@ -296,3 +303,19 @@
     const std::scoped_lock lock(fixture.group.mutex);
     cr_assert(fixture.group.orders == 0, "%u", fixture.group.orders);
 }
+
+// Guards against a group that runs with two maps because the report of one rank counted for
+// another: while an engine reports another rank than the one that is asked, no order is sent.
+Test(group_balancer, sends_no_order_while_another_engine_answers_for_a_rank)
+{
+    balanced_group_fixture fixture(
+        {}, [](fake_engine_group& group) { group.rank_reported_by_engine_0 = 1; });
+    auto& group = fixture.group;
+    std::this_thread::sleep_for(1s); // several polls
+    {
+        const std::scoped_lock lock(group.mutex);
+        cr_assert(group.orders == 0, "%u", group.orders);
+        group.rank_reported_by_engine_0.reset();
+    }
+    cr_assert(balanced_group_fixture::wait_until([&group] { return group.is_held(); }));
+}
--- a/Tests/experts/test_rank_agent.cxx
+++ b/Tests/experts/test_rank_agent.cxx
@@ -57,6 +57,7 @@
     const auto reply = fixture.send(request);
     cr_assert(reply.result == policy::order_result::done);
     cr_assert(reply.report->step == 7);
+    cr_assert(reply.report->group == "g" && reply.report->rank == 2 && reply.report->size == 16);
     cr_assert(reply.counts == std::vector<std::uint64_t>({1, 2, 3}));
     cr_assert(reply.experts->version == 4);
     cr_assert(reply.experts->sets == std::vector<std::vector<unsigned>>({{0, 2}, {1}}));
--- a/Tests/experts/test_stalled_coordinator.cxx
+++ b/Tests/experts/test_stalled_coordinator.cxx
@@ -25,7 +25,10 @@
 /// An engine of a large group whose requests choose a few experts far more often than the others.
 class popular_engine final : public lockstep_engine {
 public:
-    explicit popular_engine(std::atomic<unsigned>& prepared) : prepared_(prepared) {}
+    popular_engine(std::atomic<unsigned>& prepared, unsigned rank)
+        : prepared_(prepared), rank_(rank)
+    {
+    }
 
     void order(const policy::rank_order& order, std::uint64_t /*token*/, std::uint64_t /*epoch*/,
                std::function<void(policy::order_result)> done) override
@@ -40,6 +43,9 @@
     {
         policy::rank_report report;
         report.step = 10;
+        report.group = "g";
+        report.rank = this->rank_;
+        report.size = large_shape.ranks;
         done(report);
     }
 
@@ -58,6 +64,7 @@
 
 private:
     std::atomic<unsigned>& prepared_;
+    unsigned rank_;
     std::vector<std::uint64_t> counts_ =
         std::vector<std::uint64_t>(std::size_t{large_shape.sets} * large_shape.experts);
 };
@@ -101,14 +108,14 @@
     std::vector<std::unique_ptr<rank_agent>> agents;
     std::vector<rank_address> addresses;
     for (unsigned rank = 0; rank < large_shape.ranks; ++rank) {
-        engines.push_back(std::make_unique<popular_engine>(prepared));
+        engines.push_back(std::make_unique<popular_engine>(prepared, rank));
         agents.push_back(
             std::make_unique<rank_agent>(agent_context, "127.0.0.1:0", *engines[rank]));
         addresses.push_back({agents[rank]->address(), agents[rank]->address()});
     }
     const auto balancer = std::make_shared<group_balancer>(
         context, clock, "g", large_shape, addresses,
-        [&prepared](const std::string&) { return std::make_unique<popular_engine>(prepared); },
+        [&prepared](const std::string&) { return std::make_unique<popular_engine>(prepared, 0); },
         100ms);
     const auto watch = std::make_shared<turn_watch>(context);
     agent_context.start();
--- a/Tests/platform/test_lockstep_http_engine.cxx
+++ b/Tests/platform/test_lockstep_http_engine.cxx
@@ -33,14 +33,32 @@
 Test(lockstep_http_engine, decodes_reports)
 {
     const auto report = decode_rank_report(
-        R"({"group":{"name":"g","epoch":2,"rank":0,"state":"open"},"step":41,"map":7,
+        R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},"size":16,"step":41,"map":7,
             "prepared":8,"armed":{"version":8,"step":44},"held":44,"pace":3.5})");
-    const policy::rank_report expected{2, true, 41, 7, 8, 8, 44, 3.5};
+    const policy::rank_report expected{2, true, 41, 7, 8, 8, 44, 3.5, "g", 3, 16};
     cr_assert(report == expected);
     const auto idle = decode_rank_report(
-        R"({"group":{"epoch":2,"state":"broken"},"step":0,"map":0,"prepared":null,"armed":null,
-            "pace":0})");
-    const policy::rank_report closed{2, false, 0, 0, {}, {}, {}};
+        R"({"group":{"name":"g","epoch":2,"rank":0,"state":"broken"},"size":16,"step":0,"map":0,
+            "prepared":null,"armed":null,"pace":0})");
+    const policy::rank_report closed{2, false, 0, 0, {}, {}, {}, 1, "g", 0, 16};
     cr_assert(idle == closed);
     cr_assert_throw(decode_rank_report(R"({"step":1})"), error);
 }
+
+// Guards against a report that counts for a rank although it does not say which engine it is of.
+Test(lockstep_http_engine, rejects_reports_without_the_identity_of_the_rank)
+{
+    const std::string whole =
+        R"({"group":{"name":"g","epoch":2,"rank":0,"state":"open"},"size":16,"step":1,"map":0})";
+    cr_assert(decode_rank_report(whole).size == 16);
+    for (const std::string removed :
+         {R"("name":"g",)", R"("epoch":2,)", R"("rank":0,)", R"("size":16,)"}) {
+        auto text = whole;
+        text.erase(text.find(removed), removed.size());
+        cr_assert_throw(decode_rank_report(text), error, "%s", removed.c_str());
+    }
+    cr_assert_throw(decode_rank_report(
+                        R"({"group":{"name":"g","epoch":2,"rank":-1,"state":"open"},"size":16,
+                            "step":1,"map":0})"),
+                    error);
+}
--- a/Tests/policy/rank_group_model.cxx
+++ b/Tests/policy/rank_group_model.cxx
@@ -22,7 +22,13 @@
 rank_report rank_group_model::report(unsigned rank) const
 {
     const auto& it = this->ranks[rank];
-    rank_report result{this->epoch, true, this->step, it.map, it.prepared, {}, it.held};
+    rank_report result;
+    result.epoch = this->epoch;
+    result.step = this->step;
+    result.map_version = it.map;
+    result.prepared_version = it.prepared;
+    result.held_step = it.held;
+    result.rank = rank;
     if (it.armed) {
         result.armed_version = it.armed->version;
     }
