gateway: Decide in one place what an upstream's answer promises

Cause: the gateway knew from the missing header that the request may have run and did not repeat it, but forwarded the status, which alone is the promise. 408 and 429 took the same way and counted as good answers. Ruled out: a repeat by the gateway; each engine saw each id once. Change: interpret_answer() tells success, failure, server error, not run and unusable apart by status and headers. A promise status that the upstream does not back is answered 502 without a signature, and repeated elsewhere where the route allows it. A 2xx with the header for "not run" counts as not run on streams too.

--- a/Source/gateway/proxied_request.cxx
+++ b/Source/gateway/proxied_request.cxx
@@ -176,13 +176,13 @@
     auto& it = *this->attempt_;
     it.head = head;
     it.last_received_at = this->dispatcher_->clock().now();
-    it.is_streamed = this->details_.route->is_stream && is_success(head.status);
+    it.meaning = interpret_answer(head, this->dispatcher_->protocol());
+    it.is_streamed = this->details_.route->is_stream && it.meaning == answer_meaning::success;
     const bool is_signed =
         !transport::find_header(head.headers, this->dispatcher_->protocol().signature).empty();
     this->read_rate_limit(head, is_signed);
     this->read_notices(head);
-    const bool is_encoded = !transport::find_header(head.headers, "Content-Encoding").empty();
-    if (is_success(head.status) && (!is_signed || is_encoded)) {
+    if (it.meaning == answer_meaning::unusable && is_success(head.status)) {
         // Cancelled before the end of the body, so that the connection is not reused.
         this->end_and_exclude(policy::call_outcome::failed);
         this->on_attempt_failed(attempt_failure::unknown, "the response has no signature");
@@ -308,36 +308,40 @@
 
 void proxied_request::on_complete_response()
 {
-    const auto& protocol = this->dispatcher_->protocol();
-    const auto& head = this->attempt_->head;
-    const auto now = this->dispatcher_->clock().now();
-    if (head.status == misdirected_status ||
-        !transport::find_header(head.headers, protocol.not_run).empty()) {
-        const auto reason =
-            fmt::format("the upstream refused the request with status {}", head.status);
-        this->end_and_exclude(policy::call_outcome::refused);
-        this->on_attempt_failed(attempt_failure::not_run, reason);
-        return;
+    const auto meaning = this->attempt_->meaning;
+    transport::http_response answer{this->attempt_->head, std::move(this->attempt_->body)};
+    const auto reason = fmt::format("the upstream responded with status {}", answer.head.status);
+    if (meaning != answer_meaning::not_run) {
+        this->dispatcher_->guard().on_answered(this->details_.shared_parts);
     }
-    this->dispatcher_->guard().on_answered(this->details_.shared_parts);
-    if (is_success(head.status)) {
-        transport::http_response response{head, std::move(this->attempt_->body)};
+    switch (meaning) {
+    case answer_meaning::success: {
+        const auto now = this->dispatcher_->clock().now();
         this->end_attempt(policy::call_outcome::succeeded, now - this->attempt_->sent_at);
-        this->forward_response(response.head, std::move(response.body), "answered");
-        return;
-    }
-    const auto reason = fmt::format("the upstream responded with status {}", head.status);
-    constexpr unsigned first_server_error = 500;
-    const bool upstream_fault = head.status >= first_server_error;
-    transport::http_response failure{head, this->attempt_->body};
-    this->end_and_exclude(upstream_fault ? policy::call_outcome::failed
-                                         : policy::call_outcome::succeeded);
-    if (!upstream_fault) {
-        this->forward_response(failure.head, std::move(failure.body), "answered");
-        return;
+        this->forward_response(answer.head, std::move(answer.body), "answered");
+        break;
+    }
+    case answer_meaning::failure:
+        this->end_and_exclude(policy::call_outcome::succeeded);
+        this->forward_response(answer.head, std::move(answer.body), "answered");
+        break;
+    case answer_meaning::server_error:
+        this->end_and_exclude(policy::call_outcome::failed);
+        this->upstream_failure_ = std::move(answer);
+        this->on_attempt_failed(attempt_failure::unknown, reason);
+        break;
+    case answer_meaning::not_run:
+        this->end_and_exclude(policy::call_outcome::refused);
+        this->on_attempt_failed(
+            attempt_failure::not_run,
+            fmt::format("the upstream refused the request with status {}", answer.head.status));
+        break;
+    case answer_meaning::unusable:
+        this->end_and_exclude(policy::call_outcome::failed);
+        this->on_attempt_failed(attempt_failure::unknown,
+                                reason + ", without a statement that the request did not run");
+        break;
     }
-    this->upstream_failure_ = std::move(failure);
-    this->on_attempt_failed(attempt_failure::unknown, reason);
 }
 
 void proxied_request::on_failure(const transport::http_failure& failure)
--- a/Source/gateway/proxied_request.h
+++ b/Source/gateway/proxied_request.h
@@ -10,6 +10,7 @@
 
 #include "base/clock.h"
 #include "base/event_log.h"
+#include "gateway/answer_meaning.h"
 #include "gateway/routed_request.h"
 #include "gateway/service_dispatcher.h"
 #include "transport/event_splitter.h"
@@ -62,6 +63,7 @@
         upstream_target target;
         std::shared_ptr<transport::http_exchange> exchange;
         transport::http_head head;
+        answer_meaning meaning = answer_meaning::unusable; ///< of the head
         std::string body;           ///< buffered, unless the response is streamed
         std::size_t held_bytes = 0; ///< taken from the gateway's budget for the body
         time_point sent_at{};
--- /dev/null
+++ b/Tests/gateway/test_failing_upstreams.cxx
@@ -0,0 +1,100 @@
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+#include "gateway/gateway_fixture.h"
+
+using namespace medlaryoke;
+using namespace medlaryoke::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string key = "Authorization: Bearer key-1\r\n";
+
+bool contains(const std::string& text, const std::string& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+/// Accepts a connection to an upstream, reads its request and sends an answer.
+fakes::raw_connection answer_request(const fakes::raw_listener& upstream, const std::string& answer)
+{
+    auto connection = upstream.accept();
+    cr_assert(!connection.read_until("\r\n\r\n").empty());
+    connection.send(answer);
+    return connection;
+}
+
+/// @return an answer with a signature that does not say whether the request ran
+std::string failed_answer(unsigned status)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " Failed\r\nX-Id: r-1\r\nX-Signature: s\r\nRetry-After: 1\r\n"
+           "Content-Length: 4\r\n\r\nlost";
+}
+
+const std::vector<unsigned> promises{408, 429, 503};
+
+} // namespace
+
+// Guards against an order that runs twice: an upstream ran it and answered 503 because its own
+// upstream was away, and the caller took the forwarded 503 as a promise and placed it again.
+Test(failing_upstreams, a_request_that_may_have_run_is_not_answered_as_not_run)
+{
+    for (const auto status : promises) {
+        gateway_fixture fixture(2);
+        fixture.configure();
+        const auto caller = fixture.call("/unsafe/", key);
+        const auto first = fixture.wait_for_upstream();
+        const auto upstream = answer_request(*fixture.upstreams[first], failed_answer(status));
+        const auto answer = caller.read_until("}");
+        cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
+        // A failure with a signature bears the status that the upstream gave.
+        cr_assert(!contains(answer, "X-Signature") && !contains(answer, "Retry-After"), "%s",
+                  answer.c_str());
+        cr_assert(!fixture.upstreams[1 - first]->has_pending());
+    }
+}
+
+// Guards against the same false promise on routes whose requests may be repeated: another upstream
+// is asked, and if it fails too the caller is told that the outcome is unknown.
+Test(failing_upstreams, a_request_that_may_be_repeated_is_sent_to_another_upstream)
+{
+    for (const std::string route : {"/safe/", "/stream/"}) {
+        for (const auto status : promises) {
+            gateway_fixture fixture(2);
+            fixture.configure();
+            const auto caller = fixture.call(route, key);
+            const auto first = fixture.wait_for_upstream();
+            const auto one = answer_request(*fixture.upstreams[first], failed_answer(status));
+            const auto other = answer_request(*fixture.upstreams[1 - first], failed_answer(status));
+            const auto answer = caller.read_until("}");
+            cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
+            cr_assert(!contains(answer, "X-Signature"), "%s", answer.c_str());
+        }
+    }
+}
+
+// Guards against a promise that is lost: an upstream that says that it did not run the request.
+Test(failing_upstreams, a_request_that_did_not_run_is_answered_as_not_run)
+{
+    for (const std::string route : {"/safe/", "/unsafe/", "/stream/"}) {
+        for (const unsigned status : {200U, 400U, 408U, 429U, 500U, 503U}) {
+            gateway_fixture fixture(1);
+            fixture.configure();
+            const auto caller = fixture.call(route, key);
+            const auto upstream =
+                answer_request(*fixture.upstreams[0],
+                               "HTTP/1.1 " + std::to_string(status) +
+                                   " Refused\r\nX-Id: r-1\r\nX-Signature: s\r\nX-Not-Run: 1\r\n"
+                                   "Content-Length: 2\r\n\r\nno");
+            const auto answer = caller.read_until("}");
+            cr_assert(answer.starts_with("HTTP/1.1 503 "), "%u %s", status, answer.c_str());
+            cr_assert(contains(answer, "Retry-After: ") && !contains(answer, "X-Signature"), "%s",
+                      answer.c_str());
+        }
+    }
+}
