transport: An answer with a status that HTTP does not have is no answer

Seen here: 000 was not forwarded, but taken for an interim reply. Bytes behind its head that look like an answer became the answer to the caller, with 200 and the signature in them; without such bytes the request waited until its deadline. 600 to 999 reached the caller; 101 counted as interim. Cause: the client checked only that a status has three digits. Change: find_fault() looks at each head before anything is done with it: 100 to 599 but 101, and no transfer coding but chunked, whose removal with the other headers of the connection left an encoded body. The exchange fails at once and the connection is reset; the caller gets 502, or another upstream is asked where the route allows it. It holds for all who read through this client: gateways, rank agents, agents, the store. Between agent and entry a first chunk without a final status ends the dispatch as of unknown outcome. Ruled out: versions other than HTTP/1.0 and 1.1 and statuses without three digits, which were refused before (skips_interim_replies_only, green before). Tests, red before: a_status_that_is_none_is_answered_at_once over a length, chunks, neither and an empty body on safe, unsafe and stream routes (the caller got the hidden 200), fails_at_once_on_a_status_that_is_none, fails_on_transfer_codings_other_than_chunked, an_answer_without_a_status_is_of_unknown_outcome (status 0 was delivered).

--- a/Source/policy/dispatch_tracker.cxx
+++ b/Source/policy/dispatch_tracker.cxx
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include "base/http_status.h"
+
 namespace medlaryoke::policy {
 
 namespace {
@@ -153,6 +155,10 @@
     if (chunk.sequence() > it->second.next_chunk) {
         return this->request_missing_chunks(it);
     }
+    if (chunk.sequence() == 0 && !is_final_status(chunk.status())) {
+        return this->end(it, dispatch_end::unknown,
+                         fmt::format("the agent sent an answer with status {}", chunk.status()));
+    }
     it->second.resume_requested = false;
     ++it->second.next_chunk;
     it->second.digest.update(chunk.data());
--- a/Source/transport/http_client.cxx
+++ b/Source/transport/http_client.cxx
@@ -20,11 +20,13 @@
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 
+#include "base/http_status.h"
 #include "base/logging.h"
 #include "transport/moving_deadline.h"
 #include "transport/runtime_implementation.h"
@@ -107,6 +109,32 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Checks a head before anything is done with it: an engine in trouble may send any number as its
+/// status, and what follows such a head is no answer.
+/// @return why the reply cannot be used; empty if it can
+template <bool IsRequest, typename Fields>
+std::string find_fault(const http::header<IsRequest, Fields>& head)
+{
+    constexpr unsigned first_interim_status = 100;
+    constexpr unsigned last_interim_status = 199;
+    constexpr unsigned switching_protocols = 101;
+    const auto status = head.result_int();
+    const bool is_interim = status >= first_interim_status && status <= last_interim_status;
+    if (!is_interim && !is_final_status(status)) {
+        return fmt::format("the reply has the status {:03}, which HTTP does not have", status);
+    }
+    if (status == switching_protocols) {
+        return "the reply changes to another protocol, which was not asked for";
+    }
+    const auto codings = head.equal_range(http::field::transfer_encoding);
+    if (std::any_of(codings.first, codings.second, [](const auto& field) {
+            return !boost::beast::iequals(field.value(), "chunked");
+        })) {
+        return "the reply has a transfer coding other than chunked";
+    }
+    return {};
+}
+
 /// Runs a callback and logs its exceptions, which would otherwise end the worker thread.
 template <typename Function>
 void run_callback(Function fn)
@@ -558,8 +586,11 @@
         return;
     }
     const auto& message = this->parser_->get();
-    constexpr unsigned first_final_status = 200; // 1xx replies are interim
-    if (message.result_int() < first_final_status) {
+    if (const auto fault = find_fault(message.base()); !fault.empty()) {
+        this->fail(error_kind::unavailable, fault);
+        return;
+    }
+    if (!is_final_status(message.result_int())) {
         if (++this->interim_replies_ > max_interim_replies) {
             this->fail(error_kind::unavailable, "too many interim replies");
             return;
--- a/Tests/gateway/test_failing_upstreams.cxx
+++ b/Tests/gateway/test_failing_upstreams.cxx
@@ -98,3 +98,35 @@
         }
     }
 }
+
+// Guards against an answer with a status that HTTP does not have: the bytes after its head were
+// taken for the answer to the caller, or the request waited until its deadline.
+Test(failing_upstreams, a_status_that_is_none_is_answered_at_once)
+{
+    const auto hidden = signed_response("r-1", "{}");
+    const std::vector<std::string> framings{
+        "Content-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden,
+        "Content-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "\r\nid: 1\ndata: a\n\n",
+        "\r\n" + hidden,
+    };
+    for (const std::string route : {"/safe/", "/unsafe/", "/stream/"}) {
+        for (const std::string status : {"000", "099", "101", "600", "999"}) {
+            for (const auto& framing : framings) {
+                gateway_fixture fixture(1);
+                fixture.configure();
+                const auto started = std::chrono::steady_clock::now();
+                const auto caller = fixture.call(route, key);
+                const auto upstream = answer_request(
+                    *fixture.upstreams[0],
+                    "HTTP/1.1 " + status + " Trouble\r\nX-Id: r-1\r\nX-Signature: s\r\n" + framing);
+                const auto answer = caller.read_until("}");
+                cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
+                cr_assert(!contains(answer, "X-Signature"), "%s", answer.c_str());
+                // The timeout of the route is 2 s.
+                cr_assert(std::chrono::steady_clock::now() - started < 1500ms);
+            }
+        }
+    }
+}
--- a/Tests/policy/test_dispatch_tracker.cxx
+++ b/Tests/policy/test_dispatch_tracker.cxx
@@ -228,3 +228,19 @@
     cr_assert(lost.ends == 1 && lost.end == dispatch_end::unknown);
     cr_assert_eq(tracker.size(), 0);
 }
+
+// Guards against an answer that reaches the caller with a status that HTTP does not have, such as
+// the zero of a chunk that lacks it.
+Test(dispatch_tracker, an_answer_without_a_status_is_of_unknown_outcome)
+{
+    for (const unsigned status : {0U, 99U, 100U, 101U, 199U, 600U, 999U}) {
+        dispatch_tracker tracker;
+        dispatch_observer observer;
+        tracker.add(1, incarnation, no_deadline);
+        auto frame = make_chunk(1, 0, "part");
+        frame.mutable_chunk()->set_status(status);
+        observer.apply(tracker.on_frame(frame));
+        cr_assert(observer.heads == 0 && observer.data.empty(), "%u", status);
+        cr_assert(observer.ends == 1 && observer.end == dispatch_end::unknown, "%u", status);
+    }
+}
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -149,6 +149,82 @@
     }
 }
 
+// Guards against an answer whose status HTTP does not have: 000 counted as an interim reply, so the
+// bytes after it were taken for the answer, or the request waited until its deadline. In every
+// framing the request fails as soon as the head is there, and the connection is not used again.
+Test(http_client, fails_at_once_on_a_status_that_is_none)
+{
+    const std::string smuggled(ok_reply);
+    const std::vector<std::string> framings{
+        "Content-Length: " + std::to_string(smuggled.size()) + "\r\n\r\n" + smuggled,
+        "Content-Length: 0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "\r\nok",
+        "\r\n",
+        "\r\n" + smuggled,
+    };
+    for (const std::string status : {"000", "001", "099", "101", "600", "777", "999"}) {
+        for (const auto& framing : framings) {
+            scripted_server script;
+            const auto started = std::chrono::steady_clock::now();
+            auto running = script.start();
+            const auto connection = script.listener.accept();
+            cr_assert(!connection.read_until("\r\n\r\n").empty());
+            connection.send("HTTP/1.1 " + status + " Trouble\r\n" + framing);
+            // The connection stays open: the timeout of the first byte is 10 s.
+            const auto result = running.get();
+            const auto* failed = std::get_if<http_failure>(&result);
+            cr_assert(failed != nullptr && failed->maybe_sent, "%s", status.c_str());
+            cr_assert(std::chrono::steady_clock::now() - started < 5s, "%s", status.c_str());
+            auto next = script.start();
+            const auto fresh = script.listener.accept();
+            cr_assert(!fresh.read_until("\r\n\r\n").empty());
+            fresh.send(ok_reply);
+            cr_assert(is_ok(next.get()));
+        }
+    }
+}
+
+// Guards against an interim reply that is taken for an answer, and against a status line that is
+// not of HTTP/1.
+Test(http_client, skips_interim_replies_only)
+{
+    scripted_server script;
+    auto running = script.start();
+    const auto connection = script.listener.accept();
+    cr_assert(!connection.read_until("\r\n\r\n").empty());
+    for (const std::string status : {"100", "102", "103", "199"}) {
+        connection.send("HTTP/1.1 " + status + " Wait\r\n\r\n");
+    }
+    connection.send(ok_reply);
+    cr_assert(is_ok(running.get()));
+    for (const std::string line :
+         {"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 20 OK",
+          "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK"}) {
+        scripted_server other;
+        auto broken = other.start();
+        const auto upstream = other.listener.accept();
+        cr_assert(!upstream.read_until("\r\n\r\n").empty());
+        upstream.send(line + "\r\nContent-Length: 2\r\n\r\nok");
+        cr_assert(std::holds_alternative<http_failure>(broken.get()), "%s", line.c_str());
+    }
+}
+
+// Guards against a body that is forwarded although it is encoded: its transfer coding was dropped
+// with the other headers of the connection.
+Test(http_client, fails_on_transfer_codings_other_than_chunked)
+{
+    for (const std::string coding : {"gzip, chunked", "gzip", "chunked, gzip", "identity"}) {
+        scripted_server script;
+        auto running = script.start();
+        const auto connection = script.listener.accept();
+        cr_assert(!connection.read_until("\r\n\r\n").empty());
+        connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                        "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+        cr_assert(std::holds_alternative<http_failure>(running.get()), "%s", coding.c_str());
+    }
+}
+
 // Guards against waiting without limit on a connection that is dead but not closed, and against
 // reuse of idle connections that died together with it.
 Test(http_client, closes_idle_connections_after_a_timeout)
