--- a/Tests/gateway/test_failing_upstreams.cxx
+++ b/Tests/gateway/test_failing_upstreams.cxx
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include "gateway/gateway_fixture.h"
 
@@ -120,7 +121,8 @@
                 const auto caller = fixture.call(route, key);
                 const auto upstream = answer_request(
                     *fixture.upstreams[0],
-                    "HTTP/1.1 " + status + " Trouble\r\nX-Id: r-1\r\nX-Signature: s\r\n" + framing);
+                    fmt::format("HTTP/1.1 {} Trouble\r\nX-Id: r-1\r\nX-Signature: s\r\n{}", status,
+                                framing));
                 const auto answer = caller.read_until("}");
                 cr_assert(answer.starts_with("HTTP/1.1 502 "), "%s", answer.c_str());
                 cr_assert(!contains(answer, "X-Signature"), "%s", answer.c_str());
--- a/Tests/transport/test_http_client.cxx
+++ b/Tests/transport/test_http_client.cxx
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include "base/error.h"
 #include "fakes/raw_socket.h"
@@ -170,7 +171,7 @@
             auto running = script.start();
             const auto connection = script.listener.accept();
             cr_assert(!connection.read_until("\r\n\r\n").empty());
-            connection.send("HTTP/1.1 " + status + " Trouble\r\n" + framing);
+            connection.send(fmt::format("HTTP/1.1 {} Trouble\r\n{}", status, framing));
             // The connection stays open: the timeout of the first byte is 10 s.
             const auto result = running.get();
             const auto* failed = std::get_if<http_failure>(&result);
