--- a/Tests/Soak/soak_caller.cxx
+++ b/Tests/Soak/soak_caller.cxx
@@ -16,6 +16,7 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include "base/http_status.h"
 #include "fakes/raw_socket.h"
 
 namespace medlaryoke::soak {
@@ -176,8 +177,9 @@
     const std::scoped_lock lock(this->mutex_);
     for (const auto& it : this->entries_) {
         const auto count = executions.count_of(it.id);
+        // Whoever gave the status: callers repeat the request either way.
         const bool reports_not_executed =
-            !it.has_server_stamp && (it.status == 503 || it.status == 429 || it.status == 408);
+            it.status == 503 || it.status == 429 || it.status == 408 || it.status == 421;
         if (it.is_unsafe && count > 1) {
             this->violations_.push_back(fmt::format("TWICE: {} ran {} times", it.id, count));
         }
@@ -250,6 +252,10 @@
             entry.status = reply->status;
             entry.has_server_stamp =
                 reply->head.find("Medlaryoke-Server-Stamp") != std::string::npos;
+            if (!is_final_status(reply->status)) {
+                this->results_.add_violation(
+                    fmt::format("MIXED: {} got status {}", entry.id, reply->status));
+            }
             const auto expected =
                 route == "/stream/" ? expected_stream(target) : "answer to " + target;
             if (reply->status == ok_status && reply->body != expected) {
--- a/Tests/Soak/soak_main.cxx
+++ b/Tests/Soak/soak_main.cxx
@@ -16,19 +16,29 @@
 
 namespace {
 
+/// Kinds of faults that are injected beside the usual ones.
+struct extra_faults {
+    bool restores_store = false;
+    bool gives_notices = false;
+    bool gives_wrong_inputs = false;
+};
+
 /// Runs the faults of one seed.
 /// @return whether there were no violations
-bool run_seed(unsigned seed, unsigned seconds, bool restores_store, bool gives_notices)
+bool run_seed(unsigned seed, unsigned seconds, const extra_faults& extra)
 {
     const auto directory = fakes::make_temporary_directory();
-    soak::soak_run test(seed, directory, restores_store, gives_notices);
+    soak::soak_run test(seed, directory, extra.restores_store, extra.gives_notices,
+                        extra.gives_wrong_inputs);
     test.run(std::chrono::seconds(seconds));
     return soak::print_report(
         {fmt::format("seed {} seconds {}: {} calls, {} answered, {} faults", seed, seconds,
                      test.results().calls(), test.results().answered(), test.faults().size()),
          test.results().violations(), test.faults(), directory,
-         fmt::format("test_soak --seeds {} --seconds {}{}{}", seed, seconds,
-                     restores_store ? " --restores" : "", gives_notices ? " --notices" : "")});
+         fmt::format("test_soak --seeds {} --seconds {}{}{}{}", seed, seconds,
+                     extra.restores_store ? " --restores" : "",
+                     extra.gives_notices ? " --notices" : "",
+                     extra.gives_wrong_inputs ? " --wrong-inputs" : "")});
 }
 
 } // namespace
@@ -40,15 +50,17 @@
     unsigned seconds = 6;
     app.add_option("--seeds", seeds, "seeds of the fault schedules")->required();
     app.add_option("--seconds", seconds, "time during which new faults start, for each seed");
-    bool restores_store = false;
-    app.add_flag("--restores", restores_store, "restore the store from older copies, too");
-    bool gives_notices = false;
-    app.add_flag("--notices", gives_notices,
+    extra_faults extra;
+    app.add_flag("--restores", extra.restores_store, "restore the store from older copies, too");
+    app.add_flag("--notices", extra.gives_notices,
                  "upstreams say that they leave or want nothing, and a data centre is evacuated");
+    app.add_flag("--wrong-inputs", extra.gives_wrong_inputs,
+                 "upstreams fail with statuses that are false promises or none, and another writer "
+                 "adds incomplete entries");
     CLI11_PARSE(app, argc, argv);
     bool all_passed = true;
     for (const auto seed : seeds) {
-        all_passed = run_seed(seed, seconds, restores_store, gives_notices) && all_passed;
+        all_passed = run_seed(seed, seconds, extra) && all_passed;
     }
     return all_passed ? 0 : 1;
 }
--- a/Tests/Soak/soak_run.cxx
+++ b/Tests/Soak/soak_run.cxx
@@ -1,6 +1,7 @@
 #include "Soak/soak_run.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <functional>
 #include <iterator>
@@ -34,12 +35,15 @@
 } // namespace
 
 soak_run::soak_run(unsigned seed, const std::string& directory, bool restores_store,
-                   bool gives_notices)
-    : random_(seed), restore_random_(seed), notice_random_(seed), restores_store_(restores_store),
-      gives_notices_(gives_notices), store_(runtime_), terminated_at_(gateway_count),
+                   bool gives_notices, bool gives_wrong_inputs)
+    : random_(seed), restore_random_(seed), notice_random_(seed), input_random_(seed),
+      restores_store_(restores_store), gives_notices_(gives_notices),
+      gives_wrong_inputs_(gives_wrong_inputs), store_(runtime_), terminated_at_(gateway_count),
       resumed_at_(gateway_count), started_(timer::now())
 {
     this->runtime_.start();
+    this->unlisted_upstream_ =
+        std::make_unique<soak_upstream>(this->runtime_, this->executions_, "unlisted");
     for (unsigned n = 0; n < upstream_count; ++n) {
         this->upstreams_.push_back(std::make_unique<soak_upstream>(
             this->runtime_, this->executions_, fmt::format("upstream-{}", n)));
@@ -110,6 +114,10 @@
         }
     }
     callers.clear();
+    if (const auto arrivals = this->unlisted_upstream_->arrivals(); !arrivals.empty()) {
+        this->results_.add_violation(fmt::format(
+            "ROUTE: {} requests reach an upstream that no whole entry names", arrivals.size()));
+    }
     this->results_.check_executions(this->executions_, max_attempts);
 }
 
@@ -124,6 +132,10 @@
         this->notice_random_() % faults_per_notice == 0) {
         this->inject_notice();
     }
+    constexpr unsigned faults_per_wrong_input = 2;
+    if (this->gives_wrong_inputs_ && this->input_random_() % faults_per_wrong_input == 0) {
+        this->inject_wrong_input();
+    }
     constexpr unsigned gateway_kinds = 5;
     constexpr unsigned upstream_kinds = 8;
     constexpr unsigned store_kinds = 3;
@@ -297,6 +309,42 @@
     }
 }
 
+void soak_run::inject_wrong_input()
+{
+    constexpr std::array<unsigned, 8> statuses{0, 99, 101, 408, 429, 503, 600, 999};
+    constexpr auto duration = 1200ms; // an upstream writes its entry again after a heartbeat
+    constexpr unsigned kinds = 3;
+    auto& upstream = *this->upstreams_[this->input_random_() % upstream_count];
+    const auto choice = static_cast<unsigned>(this->input_random_());
+    switch (this->input_random_() % kinds) {
+    case 0:
+        upstream.fail_status = statuses.at(choice % statuses.size());
+        upstream.fails = true;
+        this->record_fault(fmt::format("{} runs requests and answers {}", upstream.name(),
+                                       upstream.fail_status.load()));
+        this->repair_after(duration, [&upstream] {
+            upstream.fails = false;
+            upstream.fail_status = 500;
+        });
+        break;
+    case 1: {
+        const auto field = this->store_.put_incomplete_upstream(
+            "unlisted", this->unlisted_upstream_->address(), choice);
+        this->record_fault("an entry of another writer without " + field);
+        break;
+    }
+    default: {
+        const auto field = this->store_.put_incomplete_upstream(
+            upstream.name(), this->unlisted_upstream_->address(), choice);
+        this->record_fault(
+            fmt::format("an entry over that of {} without {}", upstream.name(), field));
+        this->repair_after(duration,
+                           [this, &upstream] { this->store_.put_upstream(upstream, "ready"); });
+        break;
+    }
+    }
+}
+
 void soak_run::check_unused(const soak_upstream& upstream, timer::time_point since,
                             const std::string& rule)
 {
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -24,8 +24,10 @@
     /// @param restores_store whether the store is also restored from older copies
     /// @param gives_notices whether upstreams say that they leave or want nothing, and a data
     /// centre is evacuated at times
-    soak_run(unsigned seed, const std::string& directory, bool restores_store,
-             bool gives_notices = false);
+    /// @param gives_wrong_inputs whether upstreams fail with statuses that promise what is not true
+    /// or that HTTP does not have, and another writer adds incomplete entries
+    soak_run(unsigned seed, const std::string& directory, bool restores_store, bool gives_notices,
+             bool gives_wrong_inputs);
 
     soak_run(const soak_run&) = delete;
     soak_run& operator=(const soak_run&) = delete;
@@ -59,6 +61,7 @@
     /// Makes an upstream say that it leaves or wants nothing for a time, or evacuates a data
     /// centre.
     void inject_notice();
+    void inject_wrong_input();
     /// Adds a violation if more than a few requests reached an upstream.
     /// @param since requests that arrived earlier are not counted
     void check_unused(const soak_upstream& upstream, timer::time_point since,
@@ -73,14 +76,18 @@
     std::mt19937 random_;
     std::mt19937 restore_random_; ///< apart, so that a seed's other faults stay the same
     std::mt19937 notice_random_;  ///< apart, as above
+    std::mt19937 input_random_;   ///< apart, as above
     bool restores_store_ = false;
     bool gives_notices_ = false;
+    bool gives_wrong_inputs_ = false;
     bool is_notice_given_ = false; ///< one at a time, so that enough upstreams are left
     transport::runtime runtime_{1};
     soak_store store_;
     execution_counter executions_;
     call_results results_;
     std::vector<std::unique_ptr<soak_upstream>> upstreams_;
+    /// At the address that incomplete entries state; no whole entry names it.
+    std::unique_ptr<soak_upstream> unlisted_upstream_;
     std::vector<std::unique_ptr<gateway_child>> gateways_;
     std::vector<timer::time_point> terminated_at_; ///< by gateway: time of SIGTERM; zero if none
     std::vector<timer::time_point> resumed_at_;    ///< by gateway: when its last suspension ends
--- a/Tests/Soak/soak_store.cxx
+++ b/Tests/Soak/soak_store.cxx
@@ -29,6 +29,15 @@
     return bytes;
 }
 
+nlohmann::json make_upstream_record(const std::string& address, const std::string& state,
+                                    const std::string& data_centre, std::int64_t born)
+{
+    return {
+        {"service", service_name}, {"address", address}, {"zone", data_centre}, {"version", "v1"},
+        {"coldRemainingMs", 0},    {"sequence", 1},      {"born", born},        {"slots", 8},
+        {"state", state}};
+}
+
 } // namespace
 
 soak_store::soak_store(transport::runtime& runtime)
@@ -153,16 +162,18 @@
                               std::int64_t born)
 {
     this->put("keyed.servers", name,
-              nlohmann::json{{"service", service_name},
-                             {"address", address},
-                             {"zone", data_centre},
-                             {"version", "v1"},
-                             {"coldRemainingMs", 0},
-                             {"sequence", 1},
-                             {"born", born},
-                             {"slots", 8},
-                             {"state", state}}
-                  .dump());
+              make_upstream_record(address, state, data_centre, born).dump());
+}
+
+std::string soak_store::put_incomplete_upstream(const std::string& key, const std::string& address,
+                                                unsigned choice)
+{
+    auto record = make_upstream_record(address, "ready", "dc-0", 1);
+    const auto missing = std::next(record.begin(), choice % static_cast<unsigned>(record.size()));
+    auto field = missing.key();
+    record.erase(missing);
+    this->put("keyed.servers", key, record.dump());
+    return field;
 }
 
 void soak_store::put_configuration(unsigned version, const std::vector<soak_route>& routes)
--- a/Tests/Soak/soak_store.h
+++ b/Tests/Soak/soak_store.h
@@ -60,6 +60,14 @@
     void put_upstream(const std::string& name, const std::string& address, const std::string& state,
                       const std::string& data_centre = "dc-0", std::int64_t born = 0);
 
+    /// Writes the membership record of an upstream as another writer would: one field is missing.
+    /// @param key key of the record
+    /// @param address IPv4 address and port
+    /// @param choice selects the missing field
+    /// @return name of the missing field
+    std::string put_incomplete_upstream(const std::string& key, const std::string& address,
+                                        unsigned choice);
+
     /// Deletes the membership record of an upstream.
     void remove_upstream(const std::string& name);
 
--- a/Tests/Soak/soak_upstream.cxx
+++ b/Tests/Soak/soak_upstream.cxx
@@ -80,7 +80,7 @@
     }
     this->executions_.add(id);
     if (this->fails) {
-        head.status = 500;
+        head.status = this->fail_status;
         reply->respond({head, "failed"});
         return;
     }
--- a/Tests/Soak/soak_upstream.h
+++ b/Tests/Soak/soak_upstream.h
@@ -65,8 +65,9 @@
     /// @return the requests in the order of their arrival
     [[nodiscard]] std::vector<arrival> arrivals() const;
 
-    std::atomic<bool> refuses = false;  ///< answers 503 without executing requests
-    std::atomic<bool> fails = false;    ///< executes requests and answers 500
+    std::atomic<bool> refuses = false; ///< answers 503 without executing requests
+    std::atomic<bool> fails = false;   ///< executes requests and answers `fail_status`
+    std::atomic<unsigned> fail_status = 500;
     std::atomic<int> work_ms = 20;      ///< time from a request to its answer
     std::atomic<bool> leaves = false;   ///< says in all its answers that it leaves
     std::atomic<int> pause_s = 0;       ///< names this Retry-After when it refuses; 0: none
