platform: Means of a configuration may have a fraction

Cause: the means were read as whole numbers, and one field that cannot be read refuses the whole version. Change: they are numbers. Counts stay whole. Test: platform_records/configuration has means with fractions; such a version was refused before.

--- a/Source/model/route_config.h
+++ b/Source/model/route_config.h
@@ -50,9 +50,9 @@
                                              ///< generates tokens
     double prefill_tokens_per_second = 0;    ///< rate at which prompts are processed (prefill)
     unsigned token_steps_per_step = 0;       ///< token steps in a step of the engine
-    unsigned chunk = 0; ///< most prompt tokens that an engine processes in a token step
-    unsigned mean_prompt_tokens = 0; ///< mean number of tokens in a prompt
-    unsigned mean_answer_tokens = 0; ///< mean number of tokens in an answer
+    unsigned chunk = 0;            ///< most prompt tokens that an engine processes in a token step
+    double mean_prompt_tokens = 0; ///< mean number of tokens in a prompt
+    double mean_answer_tokens = 0; ///< mean number of tokens in an answer
 };
 
 /// Placement limits and timing of the experts that the engines of a service hold.
--- a/Tests/platform/test_records.cxx
+++ b/Tests/platform/test_records.cxx
@@ -47,7 +47,7 @@
     {"name":"q","host":"h.example","pathPrefix":"/q/","kind":"safe","timeoutMs":500,"service":"b"},
     {"name":"z","host":"h.example","pathPrefix":"/z/","kind":"keyed","timeoutMs":5,"service":"b"}],
     "services":[{"name":"a","maxConnections":9,"engine":{"step_ms":4.5,"per_seq_ms":0.5,
-     "read_per_s":1000,"stride":6,"chunk":512,"usual":{"prompt":800,"answer":9},"sets":4,
+     "read_per_s":1000,"stride":6,"chunk":512,"usual":{"prompt":835.4,"answer":9.5},"sets":4,
      "experts":64,"placements":5,"spare":2,"report_lag_ms":200,
      "expertMb":2500,"linkMbps":200000}}],
     "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
@@ -99,7 +99,8 @@
               std::string::npos);
 }
 
-// Guards against retry rules, API keys and timeouts that are decoded wrongly.
+// Guards against retry rules, API keys and timeouts that are decoded wrongly, and against a version
+// that never comes into force because a mean in it has a fraction.
 Test(platform_records, configuration)
 {
     const auto config = decode_configuration(config_text);
@@ -114,6 +115,8 @@
     cr_assert(config.routes[3].repeat == model::repeat_rule::unsafe); // an unknown kind
     const auto& service = config.services.at("a");
     cr_assert(service.engine->token_steps_per_step == 6 && service.engine->chunk == 512);
+    cr_assert(service.engine->mean_prompt_tokens == 835.4); // a mean may have a fraction
+    cr_assert(service.engine->mean_answer_tokens == 9.5);
     cr_assert(service.experts->spare == 2 && service.experts->report_lag == 200ms);
     cr_assert(service.experts->copy_time == 100ms);
     cr_assert(config.limits.max_header_bytes == 100 && config.limits.idle_timeout == 400ms);
