gateway: A planned stop waits for answers that are read slowly

Cause: a request ends when its answer is handed to the connection; bytes that the connection had not written were waited for during 200 ms only. Ruled out: the timeout of writes. Change: a draining gateway counts as busy while replies are unread, until its grace ends. The line "stop" says what was left.

--- a/Source/gateway/gateway_process.cxx
+++ b/Source/gateway/gateway_process.cxx
@@ -60,7 +60,7 @@
 constexpr std::size_t control_reply_part = 2;
 constexpr std::size_t query_reply_part = 8;
 
-// Time to send the last bytes of a response.
+// Time to send the last bytes of a response, which are too few to be counted as unread.
 constexpr auto flush_time = std::chrono::milliseconds(200);
 
 // A gateway that has just started waits for heartbeats before it can become the coordinator.
@@ -800,12 +800,19 @@
 void gateway_process::stop_when_idle(time_point deadline)
 {
     const auto now = this->clock_.now();
-    if (this->gateway_.open_requests() > 0) {
+    // A request ends when its answer has been handed to the connection, which writes it as fast as
+    // the caller reads.
+    const auto unread_bytes = this->caller_server_->usage().reply_bytes;
+    if (this->gateway_.open_requests() > 0 || unread_bytes > 0) {
         this->last_busy_at_ = now;
     }
     const bool idle = now - this->last_busy_at_ > flush_time &&
                       now - this->last_request_at_ > min_idle_time_before_stop;
     if (idle || now >= deadline) {
+        this->log_.note(
+            log_level::info, "stop",
+            {{"open_requests", static_cast<std::int64_t>(this->gateway_.open_requests())},
+             {"unread_bytes", static_cast<std::int64_t>(unread_bytes)}});
         this->context_.stop();
         return;
     }
--- a/Tests/Soak/soak_upstream.cxx
+++ b/Tests/Soak/soak_upstream.cxx
@@ -86,8 +86,8 @@
     }
     const auto work = std::chrono::milliseconds(this->work_ms);
     if (!request.target.starts_with("/stream/")) {
-        this->runtime_.after(work, [head, reply, target = request.target] {
-            reply->respond({head, "answer to " + target});
+        this->runtime_.after(work, [this, head, reply, target = request.target] {
+            reply->respond({head, "answer to " + target + std::string(this->extra_bytes, '.')});
         });
         return;
     }
--- a/Tests/Soak/soak_upstream.h
+++ b/Tests/Soak/soak_upstream.h
@@ -68,9 +68,10 @@
     std::atomic<bool> refuses = false; ///< answers 503 without executing requests
     std::atomic<bool> fails = false;   ///< executes requests and answers `fail_status`
     std::atomic<unsigned> fail_status = 500;
-    std::atomic<int> work_ms = 20;      ///< time from a request to its answer
-    std::atomic<bool> leaves = false;   ///< says in all its answers that it leaves
-    std::atomic<int> pause_s = 0;       ///< names this Retry-After when it refuses; 0: none
+    std::atomic<std::size_t> extra_bytes = 0; ///< follow the text of an answer
+    std::atomic<int> work_ms = 20;            ///< time from a request to its answer
+    std::atomic<bool> leaves = false;         ///< says in all its answers that it leaves
+    std::atomic<int> pause_s = 0;             ///< names this Retry-After when it refuses; 0: none
     std::atomic<std::int64_t> born = 1; ///< start of its incarnation, in its membership record
     std::string data_centre = "dc-0";   ///< in its membership record
 
--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -36,9 +36,10 @@
 /// A site with one gateway process and one upstream.
 class single_gateway_site {
 public:
-    explicit single_gateway_site(int output = -1)
+    explicit single_gateway_site(int output = -1, const json& settings = json::object())
         : directory(fakes::make_temporary_directory()), store(runtime),
-          upstream(runtime, executions, "upstream-0"), gateway(directory, 0, 1, store.address())
+          upstream(runtime, executions, "upstream-0"),
+          gateway(directory, 0, 1, store.address(), settings)
     {
         this->runtime.start();
         this->store.put_upstream(this->upstream, "ready");
@@ -246,6 +247,38 @@
     cr_assert(cut == 0, "%u of %u requests were cut off", cut.load(), cut + answered);
 }
 
+// Guards against answers that a planned stop cuts off because their callers read slowly: a request
+// counted as ended when its answer was handed to the connection, and the process ended 1.5 s after
+// SIGTERM although most of its grace was left.
+Test(gateway_process, planned_stop_waits_for_answers_that_are_read_slowly)
+{
+    constexpr auto time_without_reads = 2500ms;
+    constexpr std::size_t answer_bytes = 7'500'000; // more than the buffers of two sockets hold
+    constexpr int small_buffer = 64 * 1024;
+    single_gateway_site site(
+        -1, {{"bounds", {{"retryBudgetRatio", 0.2}, {"retryBudgetExtra", 50}, {"graceS", 8}}}});
+    site.upstream.extra_bytes = answer_bytes;
+    std::vector<fakes::raw_connection> callers;
+    for (unsigned n = 0; n < 3; ++n) {
+        callers.emplace_back(site.gateway.caller_address());
+        callers.back().set_receive_buffer(small_buffer);
+        callers.back().send(request_text(fmt::format("slow-{}", n)));
+    }
+    std::this_thread::sleep_for(500ms);
+    site.gateway.send_signal(SIGTERM);
+    std::this_thread::sleep_for(time_without_reads);
+    for (const auto& caller : callers) {
+        const auto length = content_length(caller.read_until("\r\n\r\n"));
+        cr_assert(length > answer_bytes && caller.read_bytes(length).size() == length);
+    }
+    std::optional<int> status;
+    for (int n = 0; n < 1000 && !status; ++n) {
+        std::this_thread::sleep_for(10ms);
+        status = site.gateway.poll_exit_status();
+    }
+    cr_assert(status.has_value() && WIFEXITED(*status) && WEXITSTATUS(*status) == 0);
+}
+
 // Guards against a signal that ends a process during startup, when it arrives before its handler is
 // installed. A reload must not end it, and a planned stop ends it with status 0.
 Test(gateway_process, signals_during_startup_are_handled)
--- a/Tests/fakes/raw_socket.cxx
+++ b/Tests/fakes/raw_socket.cxx
@@ -74,6 +74,12 @@
           "setsockopt");
 }
 
+void raw_connection::set_receive_buffer(int bytes) const
+{
+    check(setsockopt(this->descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)),
+          "setsockopt");
+}
+
 std::string raw_connection::read_until(std::string_view marker) const
 {
     std::string text;
@@ -86,11 +92,16 @@
 
 std::string raw_connection::read_bytes(std::size_t count) const
 {
-    std::string text;
-    char byte = 0;
-    while (text.size() < count && recv(this->descriptor_, &byte, 1, 0) > 0) {
-        text += byte;
+    std::string text(count, '\0');
+    std::size_t size = 0;
+    while (size < count) {
+        const auto n = recv(this->descriptor_, text.data() + size, count - size, 0);
+        if (n <= 0) {
+            break;
+        }
+        size += static_cast<std::size_t>(n);
     }
+    text.resize(size);
     return text;
 }
 
--- a/Tests/fakes/raw_socket.h
+++ b/Tests/fakes/raw_socket.h
@@ -39,6 +39,10 @@
     /// Makes the destructor reset the connection instead of closing it in the usual way.
     void reset_on_close() const;
 
+    /// Bounds what the system receives ahead of the reads.
+    /// @param bytes size of the buffer
+    void set_receive_buffer(int bytes) const;
+
     /// Reads until the bytes end with a marker or the connection ends.
     /// @return the bytes, with the marker if it came
     [[nodiscard]] std::string read_until(std::string_view marker) const;
