experts: Bypass agents whose reports do not name the rank

A group that was held while agents of an earlier version stand beside its engines would have stayed held until all were replaced: their reports do not name the rank and count for none. Such an agent is now bypassed like one that does not answer, so the engine itself is read and a hold is lifted; no change of maps begins meanwhile. With agents of this version nothing changes. Test: rank_link/bypasses_an_agent_whose_reports_do_not_name_the_rank; without the change the reply had no size.

--- a/Source/experts/rank_link.cxx
+++ b/Source/experts/rank_link.cxx
@@ -41,16 +41,20 @@
         {"POST", "/rank", {}, encode_rank_request(request)},
         {agent_timeout, agent_timeout, agent_timeout, agent_timeout, agent_exchange_timeout},
         [self = this->shared_from_this(), done = std::move(done)](const auto& result) {
-            if (const auto* reply = std::get_if<transport::http_response>(&result);
-                reply != nullptr && reply->head.status == 200) {
-                if (auto decoded = decode_rank_reply(reply->body)) {
-                    done(*std::move(decoded));
-                    return;
-                }
+            const auto* response = std::get_if<transport::http_response>(&result);
+            auto reply = response != nullptr && response->head.status == 200
+                             ? decode_rank_reply(response->body)
+                             : std::nullopt;
+            const bool is_named = !reply || !reply->report || reply->report->size > 0;
+            if (reply && is_named) {
+                done(*std::move(reply));
+                return;
             }
             self->agent_bypassed_until_ = self->clock_.now() + agent_bypass_time;
             self->log_.note(log_level::warning, "agent does not answer",
-                            {{"agent", self->agent_address_}});
+                            {{"agent", self->agent_address_},
+                             {"reason", is_named ? "no reply that can be read"
+                                                 : "its version does not name the rank"}});
             done({policy::order_result::unanswered, {}, {}, {}});
         },
         max_reply_bytes);
--- a/Tests/experts/test_rank_link.cxx
+++ b/Tests/experts/test_rank_link.cxx
@@ -7,6 +7,7 @@
 
 #include "experts/fake_lockstep_engine.h"
 #include "fakes/raw_socket.h"
+#include "transport/http_server.h"
 
 using namespace medlaryoke;
 using namespace medlaryoke::experts;
@@ -46,3 +47,32 @@
     cr_assert(!reply.counts && engine.counts_read == 0); // a remote read would pause the group
     context.stop();
 }
+
+// Guards against a group that stays held while its agents are of an earlier version: their reports
+// do not name the rank, so no coordinator could lift the hold.
+Test(rank_link, bypasses_an_agent_whose_reports_do_not_name_the_rank)
+{
+    transport::runtime context(1);
+    const system_clock_source clock;
+    const transport::http_server agent(
+        context, {.address = "127.0.0.1:0"},
+        [](const transport::http_request&,
+           const std::shared_ptr<transport::response_stream>& response) {
+            rank_reply reply;
+            reply.report.emplace();
+            response->respond({{200, {}}, encode_rank_reply(reply)});
+        });
+    const auto link = std::make_shared<rank_link>(
+        context, clock, agent.address(), std::make_unique<fakes::fake_lockstep_engine>(), 10ms);
+    context.start();
+    const auto send = [&link] {
+        std::promise<rank_reply> promise;
+        link->send({}, [&promise](rank_reply reply) { promise.set_value(std::move(reply)); });
+        return promise.get_future().get();
+    };
+    cr_assert(send().result == policy::order_result::unanswered);
+    const auto reply = send();
+    cr_assert(reply.report && reply.report->size == 16 && link->is_agent_unresponsive());
+    context.stop();
+    context.wait();
+}
