--- a/Source/experts/rank_link.h
+++ b/Source/experts/rank_link.h
@@ -15,9 +15,8 @@
 
 /// Sends a coordinator's requests to one rank: through the agent next to the engine, or directly to
 /// the engine while the agent does not answer, or answers without naming the rank, as agents of
-/// earlier versions do. Direct requests from another instance are charged
-/// for, so the agent is tried again after a short time. Must be used on the thread of a
-/// single-threaded runtime.
+/// earlier versions do. Direct requests from another instance are charged for, so the agent is
+/// tried again after a short time. Must be used on the thread of a single-threaded runtime.
 class rank_link : public std::enable_shared_from_this<rank_link> {
 public:
     /// @param context runs the calls
--- a/Source/gateway/answer_meaning.cxx
+++ b/Source/gateway/answer_meaning.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <string_view>
 
 namespace medlaryoke::gateway {
 
@@ -17,13 +18,6 @@
 
 } // namespace
 
-std::string_view to_string(answer_meaning meaning)
-{
-    constexpr std::array<std::string_view, 5> names{"success", "failure", "server_error", "not_run",
-                                                    "unusable"};
-    return names.at(static_cast<std::size_t>(meaning));
-}
-
 answer_meaning interpret_answer(const transport::http_head& head, const caller_protocol& protocol)
 {
     const auto has = [&head](std::string_view name) {
--- a/Source/gateway/answer_meaning.h
+++ b/Source/gateway/answer_meaning.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <string_view>
-
 #include "gateway/caller_protocol.h"
 #include "transport/http_message.h"
 
@@ -16,9 +14,6 @@
     unusable,     ///< may have run; nothing of it is forwarded
 };
 
-/// @return name of a meaning as it appears in logs
-std::string_view to_string(answer_meaning meaning);
-
 /// Decides what an answer means by its head. Callers take 408, 421, 429 and 503 as a promise that
 /// the request did not run. An upstream makes this promise with the `not_run` header or with status
 /// 421, and with nothing else: one that fails after the run, because its own upstream is away, may
--- a/Tests/gateway/test_answer_meaning.cxx
+++ b/Tests/gateway/test_answer_meaning.cxx
@@ -58,8 +58,8 @@
     const transport::http_header signature{"X-Signature", "s"};
     for (unsigned status = 200; status <= 599; ++status) {
         if (std::ranges::find(promises, status) != promises.end()) {
-            cr_assert(to_string(interpret(status, {signature})) ==
-                          (status == 421 ? "not_run" : "unusable"),
+            cr_assert(interpret(status, {signature}) ==
+                          (status == 421 ? answer_meaning::not_run : answer_meaning::unusable),
                       "%u", status);
             continue;
         }
