tests, KNOWN-RED: The stop with slow readers uses a route that is not repeated; a finding beside load

None was cut off. The attempt of a safe request is given up then, also while its answer arrives and no other upstream is there. That is a fault of its own and is listed.

--- a/Tests/Soak/test_gateway_process.cxx
+++ b/Tests/Soak/test_gateway_process.cxx
@@ -101,10 +101,10 @@
     gateway_child gateway;
 };
 
-std::string request_text(const std::string& id)
+std::string request_text(const std::string& id, const std::string& target = "/safe/x")
 {
-    return "GET /safe/x HTTP/1.1\r\nHost: desk.example\r\nMedlaryoke-Request-Id: " + id +
-           "\r\n\r\n";
+    return fmt::format("GET {} HTTP/1.1\r\nHost: desk.example\r\nMedlaryoke-Request-Id: {}\r\n\r\n",
+                       target, id);
 }
 
 /// @return value of the Content-Length field, 0 if there is none
@@ -262,7 +262,8 @@
     for (unsigned n = 0; n < 3; ++n) {
         callers.emplace_back(site.gateway.caller_address());
         callers.back().set_receive_buffer(small_buffer);
-        callers.back().send(request_text(fmt::format("slow-{}", n)));
+        // An attempt of a route that may repeat it ends after twice its latency target.
+        callers.back().send(request_text(fmt::format("slow-{}", n), "/unsafe/x"));
     }
     std::this_thread::sleep_for(500ms);
     site.gateway.send_signal(SIGTERM);
