platform: The version of an engine's software may be a number

Text that is empty, lists, objects, booleans and null are refused as before; so is an entry without it. Test: platform_records/upstream_entries reads such an entry, incomplete_entries_name_no_upstream also gives each field a boolean.

--- a/Tests/platform/test_records.cxx
+++ b/Tests/platform/test_records.cxx
@@ -133,6 +133,9 @@
     cr_assert(entry->group->rank == 2 && entry->group->size == 16 && !entry->group->open);
     cr_assert(entry->group->group == "g" && entry->group->epoch == 3 && entry->cold_time == 251ms);
     cr_assert(decode_upstream("i-1", plain_entry_text, 7500).has_value());
+    auto numbered = nlohmann::json::parse(rank_entry_text);
+    numbered["version"] = 1; // its type is not stated
+    cr_assert(decode_upstream("i-1", numbered.dump(), 7500).has_value());
     for (const std::string bad : {"", "\xff\x00", "[]", "{}", R"({"service":"a"})"}) {
         cr_assert(!decode_upstream("i-2", bad, 1), "%s", bad.c_str());
     }
@@ -160,6 +163,7 @@
         {"/group/name", ""},
         {"/models", "m"},
         {"/stage", ""},
+        {"/version", ""},
     };
     for (const auto& [field, value] : bad_values) {
         auto root = nlohmann::json::parse(rank_entry_text);
@@ -189,7 +193,11 @@
             check(root, field);
             root.at(pointer) = nlohmann::json::array({value});
             check(root, field);
-            root.at(pointer) = value.is_string() ? nlohmann::json(1) : nlohmann::json("1");
+            if (field != "/version") { // its type is not stated
+                root.at(pointer) = value.is_string() ? nlohmann::json(1) : nlohmann::json("1");
+                check(root, field);
+            }
+            root.at(pointer) = true;
             check(root, field);
             const bool is_optional = field == "/stage"; // plain services do not state it
             if (!is_optional) {
