--- a/review/standins_3/small_site.py
+++ b/review/stand_ins_3.py
@@ -16,7 +16,7 @@
 import time
 import urllib.parse
 
-REPOSITORY = pathlib.Path(__file__).resolve().parent.parent.parent
+REPOSITORY = pathlib.Path(__file__).resolve().parent.parent
 BINARY = REPOSITORY / "target" / "Source" / "commands" / "medlaryoke"
 HOST = "shops.example"
 KEY = "n2ctnfzs989anu6wsjnb"
